Grow the voters of the log to what may be lost at once

Settings name three seeds only, so the log had three voters whatever `fault_tolerance` says. Ruled out: a lost write of a voter that kept its disk (the third voter never had the entry; it was committed by the two that were wiped). Change: learners that have caught up are given seats until twice the machines that may be lost, and one, vote. Scenario `grown_members`: two disks lost while all hosts lose power; without growing, the members stay three.

--- a/crates/sequoiawing_consensus/src/replica/change.rs
+++ b/crates/sequoiawing_consensus/src/replica/change.rs
@@ -87,6 +87,7 @@
         }
         let next = self.admit_next();
         let next = next.or_else(|| self.seat_next(now));
+        let next = next.or_else(|| self.grow_next(now));
         let next = next.or_else(|| self.replace_next(now));
         if let Some(members) = next {
             self.append_members(members);
@@ -143,6 +144,36 @@
         self.is_safe(now, &next).then_some(next)
     }
 
+    /// Returns the members with one more seat, for a learner that has caught up,
+    /// while there are fewer voters than there should be.
+    fn grow_next(&self, now: Time) -> Option<Membership> {
+        let members = self.members();
+        let voters = members.voters().count().max(members.seats.len());
+        if voters >= self.settings.grow_to {
+            return None;
+        }
+        let spare = self.spare(now)?;
+        let voting = Member {
+            voter: true,
+            ..spare.clone()
+        };
+        if !self.is_safe(now, &members.with(voting)) {
+            return None;
+        }
+        let mut next = Membership::clone(members);
+        next.seats.push(spare.host.clone());
+        Some(next)
+    }
+
+    /// Returns a learner without a seat that has caught up.
+    fn spare(&self, now: Time) -> Option<&Member> {
+        let members = self.members();
+        let is_spare = |m: &&Member| {
+            !m.voter && !members.seats.contains(&m.host) && self.is_caught_up(now, m.id)
+        };
+        members.members.iter().find(is_spare)
+    }
+
     /// Returns the members without a voter that has been away for long, and
     /// with its seat given to a learner that has caught up.
     ///
@@ -151,10 +182,7 @@
     fn replace_next(&self, now: Time) -> Option<Membership> {
         let after = self.settings.replace_after?;
         let members = self.members();
-        let is_spare = |m: &&Member| {
-            !m.voter && !members.seats.contains(&m.host) && self.is_caught_up(now, m.id)
-        };
-        let spare = members.members.iter().find(is_spare)?;
+        let spare = self.spare(now)?;
         let is_gone = |m: &&Member| m.voter && self.is_away(now, m.id, after);
         let gone = members.members.iter().find(is_gone)?;
         let mut next = members.without(gone.id);
--- a/crates/sequoiawing_consensus/src/settings.rs
+++ b/crates/sequoiawing_consensus/src/settings.rs
@@ -62,6 +62,9 @@
     /// How long a voter may be away before a learner that has caught up takes
     /// its seat; never where operators give seats.
     pub replace_after: Option<Duration>,
+    /// The voters up to which learners that have caught up are given seats;
+    /// none are where operators give them.
+    pub grow_to: usize,
 }
 
 impl ReplicaSettings {
@@ -76,6 +79,7 @@
             seed: id.0,
             snapshot_entries: 4_096,
             replace_after: None,
+            grow_to: 0,
         }
     }
 
--- a/crates/sequoiawing_consensus/tests/harness/mod.rs
+++ b/crates/sequoiawing_consensus/tests/harness/mod.rs
@@ -87,6 +87,7 @@
     next_token: Token,
     pub(crate) snapshot_entries: u64,
     pub(crate) replace_after: Option<Duration>,
+    pub(crate) grow_to: usize,
 }
 
 impl Cluster {
@@ -107,6 +108,7 @@
             next_token: 1,
             snapshot_entries: 20,
             replace_after: None,
+            grow_to: 0,
         };
         for host in cluster.voters.clone() {
             cluster.add(&host);
@@ -166,6 +168,7 @@
         let voters = self.voters.clone();
         let entries = self.snapshot_entries;
         let replace_after = self.replace_after;
+        let grow_to = self.grow_to;
         let seed = self.below(u64::MAX);
         let is_plant = self.plant == Plant::LeaseNotWaited;
         let node = self.node(host);
@@ -180,6 +183,7 @@
         settings.seed = seed;
         settings.snapshot_entries = entries;
         settings.replace_after = replace_after;
+        settings.grow_to = grow_to;
         let loaded = node.disk.loaded.clone();
         let boot = node.boot;
         let mut out = Vec::new();
--- a/crates/sequoiawing_consensus/tests/scenarios.rs
+++ b/crates/sequoiawing_consensus/tests/scenarios.rs
@@ -84,6 +84,17 @@
     answer(cluster, token)
 }
 
+/// Starts all replicas anew, with the settings as they are now.
+fn restart(cluster: &mut Cluster) -> String {
+    let hosts: Vec<_> = cluster.nodes.keys().cloned().collect();
+    for host in hosts {
+        cluster.crash(&host);
+        cluster.start(&host);
+    }
+    cluster.run(PATIENCE);
+    leader(cluster)
+}
+
 fn step(cluster: &mut Cluster, test: &mut TestCase) -> String {
     let directive = test.directive.clone();
     match directive.as_str() {
@@ -101,13 +112,11 @@
         "replace" => {
             let span: u64 = test.take_arg("ms").expect("a time");
             cluster.replace_after = Some(Duration::from_millis(span));
-            let hosts: Vec<_> = cluster.nodes.keys().cloned().collect();
-            for host in hosts {
-                cluster.crash(&host);
-                cluster.start(&host);
-            }
-            cluster.run(PATIENCE);
-            leader(cluster)
+            restart(cluster)
+        }
+        "grow" => {
+            cluster.grow_to = test.take_arg("to").expect("a number");
+            restart(cluster)
         }
         "join" => {
             let host = name(test, "host");
--- a/crates/sequoiawing_controller/src/settings.rs
+++ b/crates/sequoiawing_controller/src/settings.rs
@@ -39,6 +39,10 @@
     /// its place, in milliseconds; never when none is given, and operators then
     /// seat controllers by `sequoiactl controllers`.
     pub replace: Option<u64>,
+    /// The voters up to which learners that have caught up are given seats; 0
+    /// where operators give them. Twice the machines that may be lost at once,
+    /// and one.
+    pub grow: usize,
     /// The addresses of other controllers that this host reaches under others,
     /// as behind address translation between data centres.
     pub translations: Vec<Translation>,
@@ -55,6 +59,7 @@
             metrics: None,
             voters: Vec::new(),
             replace: None,
+            grow: 0,
             translations: Vec::new(),
         }
     }
