Count what engines hold once for all models

Cause: each look of the loader counted copies model by model over all engines, and the free memory of every engine again for every model wanted: 215 models times 60 engines, up to a hundred times a second on 0.3 of a core. Change: a census of each pool is taken once for each decision and kept up to date while loads are placed. Decisions are the same; of equal rates the first model is still the one that is spread. The loader's scenarios pass unchanged.

--- a/crates/sequoiawing_policy/src/serving/loader/engine.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/engine.rs
@@ -228,6 +228,11 @@
         self.loads(model) || (self.holds(model) && !evicts)
     }
 
+    /// Returns the models that it holds, as far as orders tell.
+    pub(super) fn held(&self) -> impl Iterator<Item = &Name> {
+        self.held.keys()
+    }
+
     /// Returns the models for which memory must be counted.
     pub(super) fn held_or_announced(&self) -> impl Iterator<Item = &Name> {
         let announced = self.state.loaded.iter();
--- a/crates/sequoiawing_policy/src/serving/loader/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/mod.rs
@@ -1,10 +1,12 @@
 //! Which engine loads which model.
 
+mod census;
 mod demand;
 mod engine;
 mod victims;
 
 use super::{EngineReply, EngineReport};
+use census::Census;
 use demand::{Demands, Noted};
 use engine::{Engine, Job, Phase};
 use sequoiawing_catalog::{Catalog, CatalogIndex, CatalogPool, ModelSpec};
@@ -269,25 +271,42 @@
 
     /// Finds work for engines that have none.
     fn decide(&mut self, now: Time) {
-        let pools = self.index.catalog().pools.clone();
+        let catalog = self.index.catalog().clone();
         self.queued.clear();
-        for pool in pools.iter().filter(|p| p.engine.is_some()) {
+        for pool in catalog.pools.iter().filter(|p| p.engine.is_some()) {
             self.fetch_adapters(now, pool);
-            for (model, value) in self.wanted(now, pool) {
-                if !self.place(now, pool, &model, value) {
-                    self.queue(now, pool, &model);
+            let mut census = self.census(now, pool);
+            for (model, value) in self.wanted(now, pool, &census) {
+                if !self.place(now, pool, &mut census, &model, value) {
+                    self.queue(now, pool, &census, &model);
                 }
             }
-            self.spread(now, pool);
+            self.spread(now, pool, &mut census);
         }
     }
 
+    /// Counts what the engines of a pool hold, once for all models.
+    fn census(&self, now: Time, pool: &CatalogPool) -> Census {
+        let mut census = Census::default();
+        let engines = self.engines.iter();
+        for (name, engine) in engines.filter(|(_, e)| e.state.pool == pool.name) {
+            census.engines += 1;
+            if engine.is_serving() {
+                census.count(engine);
+            }
+            if engine.is_free(now) {
+                census.free.insert(name.clone(), self.room(pool, engine));
+            }
+        }
+        census
+    }
+
     /// Returns the models that should be loaded now, the most valuable first.
-    fn wanted(&self, now: Time, pool: &CatalogPool) -> Vec<(ModelSpec, f64)> {
+    fn wanted(&self, now: Time, pool: &CatalogPool, census: &Census) -> Vec<(ModelSpec, f64)> {
         let models = pool.engine.iter().flat_map(|e| &e.models);
         let mut wanted: Vec<(ModelSpec, f64)> = models
             .filter_map(|model| {
-                let copies = self.copies(&pool.name, &model.name);
+                let copies = census.copies(&model.name);
                 let rate = self.demands.rate(now, &pool.name, &model.name);
                 let is_missed = self.demands.is_missed(now, &pool.name, &model.name);
                 let borne = count(copies) * self.settings.copy_rate;
@@ -307,13 +326,6 @@
         wanted
     }
 
-    /// Counts the engines that hold a model or are about to.
-    fn copies(&self, pool: &Name, model: &Name) -> usize {
-        let engines = self.engines.values();
-        let fitting = engines.filter(|e| e.state.pool == *pool && e.is_serving());
-        fitting.filter(|e| e.will_hold(model)).count()
-    }
-
     /// Counts the loads from the weight store that are under way.
     fn store_loads(&self) -> usize {
         let jobs = self.engines.values().filter_map(|e| e.job.as_ref());
@@ -331,13 +343,12 @@
     }
 
     /// Announces a load from a copy at hand that waits for an engine.
-    fn queue(&mut self, now: Time, pool: &CatalogPool, model: &ModelSpec) {
-        let is_first = self.copies(&pool.name, &model.name) == 0;
-        if !is_first || !self.is_at_hand(&pool.name, &model.name) {
+    fn queue(&mut self, now: Time, pool: &CatalogPool, census: &Census, model: &ModelSpec) {
+        let is_first = census.copies(&model.name) == 0;
+        if !is_first || !census.is_at_hand(&model.name) {
             return;
         }
-        let engines = self.engines.values().filter(|e| e.state.pool == pool.name);
-        let rounds = count(self.queued.len()) / count(engines.count()).max(1.0) + 1.0;
+        let rounds = count(self.queued.len()) / count(census.engines).max(1.0) + 1.0;
         let takes = load_time(model, Checkpoint::Disk) + EVICTION_TIME;
         self.queued.push(LoadPlan {
             pool: pool.name.clone(),
@@ -349,15 +360,22 @@
 
     /// Gives a load to the engine where it costs least; reports whether one
     /// takes it.
-    fn place(&mut self, now: Time, pool: &CatalogPool, model: &ModelSpec, value: f64) -> bool {
+    fn place(
+        &mut self,
+        now: Time,
+        pool: &CatalogPool,
+        census: &mut Census,
+        model: &ModelSpec,
+        value: f64,
+    ) -> bool {
         // An engine with a copy at hand is soon free again.
-        let is_near = self.is_at_hand(&pool.name, &model.name);
+        let is_near = census.is_at_hand(&model.name);
         let from_store = !is_near && self.may_load_from_store(now, pool);
         let mut best: Option<(f64, Name, Checkpoint, Vec<Name>)> = None;
-        for (name, engine) in &self.engines {
-            if engine.state.pool != pool.name || !engine.is_free(now) {
+        for (name, room) in &census.free {
+            let Some(engine) = self.engines.get(name) else {
                 continue;
-            }
+            };
             if engine.will_hold(&model.name) {
                 continue;
             }
@@ -365,7 +383,8 @@
             if source == Checkpoint::Store && !from_store {
                 continue;
             }
-            let Some(victims) = self.victims(now, pool, engine, model) else {
+            let free = room.and_then(|room| self.victims(now, pool, census, engine, (model, room)));
+            let Some(victims) = free else {
                 continue;
             };
             if victims.value >= value {
@@ -383,6 +402,7 @@
         if source == Checkpoint::Store {
             self.store_begun = Some(now);
         }
+        census.place(&name, &model.name, &evict);
         if let Some(engine) = self.engines.get_mut(&name) {
             engine.job = Some(Job::new(model, source, evict));
         }
@@ -393,39 +413,21 @@
 
     /// Brings models to the disks of engines while the weight store is idle,
     /// so that a later load is fast.
-    fn spread(&mut self, now: Time, pool: &CatalogPool) {
+    fn spread(&mut self, now: Time, pool: &CatalogPool, census: &mut Census) {
         if !self.may_load_from_store(now, pool) {
             return;
         }
         let models = pool.engine.iter().flat_map(|e| &e.models);
-        let mut lacking: Vec<(ModelSpec, f64)> = models
-            .filter(|m| !self.is_present(&pool.name, &m.name))
-            .map(|m| {
-                let rate = self.demands.rate(now, &pool.name, &m.name);
-                (m.clone(), rate)
-            })
-            .collect();
-        lacking.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let Some((model, rate)) = lacking.into_iter().next() else {
+        let lacking = models
+            .rev()
+            .filter(|m| census.copies(&m.name) == 0 && !census.is_at_hand(&m.name))
+            .map(|m| (m, self.demands.rate(now, &pool.name, &m.name)));
+        // Of equal rates the first model in the configuration counts.
+        let most = lacking.max_by(|a, b| a.1.total_cmp(&b.1));
+        let Some((model, rate)) = most.map(|(m, rate)| (m.clone(), rate)) else {
             return;
         };
-        self.place(now, pool, &model, rate + SPREAD_VALUE);
-    }
-
-    /// Reports whether an engine that does not hold a model has a copy of its
-    /// weights, or is about to.
-    fn is_at_hand(&self, pool: &Name, model: &Name) -> bool {
-        let engines = self.engines.values().filter(|e| e.state.pool == *pool);
-        let mut engines = engines.filter(|e| e.is_serving());
-        engines.any(|e| {
-            let has_copy = !e.holds(model) && e.checkpoint(model) != Checkpoint::Store;
-            has_copy || e.loads(model)
-        })
-    }
-
-    /// Reports whether an engine holds a model or has a copy of its weights.
-    fn is_present(&self, pool: &Name, model: &Name) -> bool {
-        self.copies(pool, model) > 0 || self.is_at_hand(pool, model)
+        self.place(now, pool, census, &model, rate + SPREAD_VALUE);
     }
 
     /// Has adapters fetched that requests missed.
@@ -471,10 +473,12 @@
     /// more than was thought.
     fn check_room(&mut self) {
         let is_crowded = |engine: &Engine| {
+            let Some(needs) = engine.job.as_ref().and_then(Job::needs) else {
+                return false;
+            };
             let pool = self.index.pool(&engine.state.pool);
             let room = pool.and_then(|pool| self.room(pool, engine));
-            let needs = engine.job.as_ref().and_then(Job::needs);
-            needs.is_some_and(|needs| room.is_none_or(|room| room < needs))
+            room.is_none_or(|room| room < needs)
         };
         let crowded = self.engines.iter().filter(|(_, e)| is_crowded(e));
         let crowded: Vec<Name> = crowded.map(|(name, _)| name.clone()).collect();
@@ -489,13 +493,14 @@
         &self,
         now: Time,
         pool: &CatalogPool,
+        census: &Census,
         engine: &Engine,
-        model: &ModelSpec,
+        (model, room): (&ModelSpec, u64),
     ) -> Option<Victims> {
-        let needed = model.weights.saturating_sub(self.room(pool, engine)?);
+        let needed = model.weights.saturating_sub(room);
         let weights = |name: &Name| self.weights(pool, name);
         let value = |name: &Name| {
-            let copies = self.copies(&pool.name, name).saturating_sub(1);
+            let copies = census.copies(name).saturating_sub(1);
             let rate = self.demands.rate(now, &pool.name, name);
             let lost = (rate - count(copies) * self.settings.copy_rate).max(0.0);
             let is_near = engine.checkpoint(name) != Checkpoint::Store || copies > 0;
