--- a/crates/sequoiawing_fleet/src/roster.rs
+++ b/crates/sequoiawing_fleet/src/roster.rs
@@ -192,12 +192,16 @@
             Interest::Announcements => e.touched,
         };
         let newer = self.entries.values().filter(|e| stamp(e) > after);
+        let listed = newer.map(|e| match interest {
+            Interest::Changes => without_copies(&e.listed),
+            Interest::Announcements => e.listed.clone(),
+        });
         RosterNews {
             cursor: Cursor {
                 epoch: self.epoch,
                 stamp: self.stamp,
             },
-            listed: newer.map(|e| e.listed.clone()).collect(),
+            listed: listed.collect(),
         }
     }
 
@@ -227,15 +231,32 @@
     }
 }
 
+/// Returns an entry without the copies of weights at hand, which are most of it
+/// and decide about loads alone.
+fn without_copies(listed: &Listed) -> Listed {
+    if listed.state.disk.is_empty() && listed.state.cached.is_empty() {
+        return listed.clone();
+    }
+    let mut state = UpstreamState::clone(&listed.state);
+    state.disk.clear();
+    state.cached.clear();
+    Listed {
+        state: Arc::new(state),
+        gone: listed.gone,
+    }
+}
+
 fn known_change(entry: Option<&Entry>) -> Option<u64> {
     entry.map(|e| e.changed)
 }
 
-/// Reports whether two entries differ in their count of announcements and in
-/// the load alone.
+/// Reports whether two entries differ only in what requests do not depend on:
+/// the count of announcements, the load and the copies of weights at hand.
 fn is_equivalent(known: &Listed, next: &Listed) -> bool {
     let mut state = UpstreamState::clone(&next.state);
     state.sequence = known.state.sequence;
     state.running = known.state.running;
+    state.disk.clone_from(&known.state.disk);
+    state.cached.clone_from(&known.state.cached);
     known.gone == next.gone && *known.state == state
 }
--- a/crates/sequoiawing_gateway/src/daemon.rs
+++ b/crates/sequoiawing_gateway/src/daemon.rs
@@ -94,7 +94,11 @@
     where
         I: IntoIterator<Item = SocketAddr>,
     {
-        self.state.hubs.lock().extend(hubs);
+        let now = self.state.now();
+        let mut known = self.state.hubs.lock();
+        for hub in hubs {
+            known.add(now, hub, true);
+        }
     }
 
     /// Stops without cutting a request: fails the readiness check, waits for
--- a/crates/sequoiawing_gateway/src/follow.rs
+++ b/crates/sequoiawing_gateway/src/follow.rs
@@ -2,82 +2,99 @@
 
 use crate::GatewayState;
 use futures_lite::FutureExt;
+use parking_lot::Mutex;
 use sequoiawing_fleet::Cursor;
-use sequoiawing_link::{GatewayReport, HubClient, Secret, Stub};
+use sequoiawing_link::{GatewayReport, HubClient, HubFacts, HubNews, Secret, Stub};
+use sequoiawing_policy::serving::{HubFact, HubRole};
 use sequoiawing_runtime::{Shutdown, Task, sleep, spawn};
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-/// How often each hub is asked. Upstreams that leave and configurations must
-/// be known within two seconds, and what customers use within the slack of
+/// How long a report waits for news. Upstreams that leave and configurations
+/// must be known within two seconds, and what customers use within the slack of
 /// their limits.
 const INTERVAL: Duration = Duration::from_millis(250);
 
-/// The shortest time between two reports to one hub.
-const LEAST_INTERVAL: Duration = Duration::from_millis(25);
-
 /// How long a hub may take.
 const CALL_LIMIT: Duration = Duration::from_millis(800);
 
 /// How often hubs that are new are looked for.
 const HUBS_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long a hub that is no seed may be silent before it is forgotten.
-const FORGET_AFTER: Duration = Duration::from_mins(1);
+/// How long shutdown waits for a hub to take the last report.
+const LEAVE_LIMIT: Duration = Duration::from_millis(200);
 
-/// Follows every hub that is known, until shutdown starts.
+/// Follows hubs, until shutdown starts.
 pub(crate) async fn follow_hubs(state: Arc<GatewayState>, shutdown: Shutdown) {
-    let mut tasks: HashMap<SocketAddr, Task<()>> = HashMap::new();
+    let mut tasks: HashMap<SocketAddr, (Arc<Follower>, Task<()>)> = HashMap::new();
     loop {
-        let known: Vec<SocketAddr> = state.hubs.lock().iter().copied().collect();
+        let known: Vec<SocketAddr> = state.hubs.lock().hubs().collect();
         for hub in known {
-            tasks
-                .entry(hub)
-                .or_insert_with(|| spawn(follow(state.clone(), hub)));
+            tasks.entry(hub).or_insert_with(|| {
+                let follower = Arc::new(Follower::new(state.clone(), hub));
+                let task = spawn(follow(follower.clone()));
+                (follower, task)
+            });
         }
-        tasks.retain(|_, task| !task.is_finished());
+        tasks.retain(|_, (_, task)| !task.is_finished());
         if shutdown.or(sleep(HUBS_INTERVAL)).await.is_none() {
             break;
         }
     }
-    // Each hub is told that this gateway leaves, as far as it answers at once.
-    drop(tasks);
-    let hubs: Vec<SocketAddr> = state.hubs.lock().iter().copied().collect();
-    for hub in hubs {
-        Follower::new(state.clone(), hub).tell(Duration::ZERO).await;
+    // Hubs that follow this gateway's reports are told that it leaves, as far as
+    // they answer at once.
+    for (hub, (follower, task)) in tasks {
+        drop(task);
+        if state.hub_role(hub) != HubRole::Probed {
+            let told = async { Some(follower.tell(Duration::ZERO, false).await) };
+            let late = async {
+                sleep(LEAVE_LIMIT).await;
+                None
+            };
+            if told.or(late).await != Some(true) {
+                log::info!(target: "gateway", hub = hub.to_string(); "A hub was not told that the gateway leaves.");
+            }
+        }
     }
 }
 
-async fn follow(state: Arc<GatewayState>, hub: SocketAddr) {
-    let mut follower = Follower::new(state.clone(), hub);
-    let mut heard = state.now();
+async fn follow(follower: Arc<Follower>) {
+    let state = &follower.state;
+    let hub = follower.hub;
     let mut in_touch = false;
+    let mut former = None;
     loop {
-        let urgent = async {
-            state.urgent.listen().await;
-            None
-        };
-        // A report that waits for news is given up for one that is urgent.
-        let told = async { Some(follower.tell(INTERVAL).await) };
-        let Some(answered) = told.or(urgent).await else {
-            sleep(LEAST_INTERVAL).await;
-            continue;
+        let role = state.hub_role(hub);
+        if former != Some(role) {
+            log::info!(target: "gateway", hub = hub.to_string(), role = format!("{role:?}"); "A hub's part changed.");
+            former = Some(role);
+        }
+        let answered = match role {
+            HubRole::Probed => follower.probe().await,
+            HubRole::Followed => follower.tell(INTERVAL, false).await,
+            HubRole::Primary => {
+                let waiting = follower.tell(INTERVAL, true);
+                waiting.or(follower.tell_urgent()).await
+            }
         };
         if answered != in_touch {
             log::info!(target: "gateway", hub = hub.to_string(), in_touch = answered; "A hub's state changed.");
+            in_touch = answered;
         }
-        in_touch = answered;
-        if answered {
-            heard = state.now();
-        } else if state.now().since(heard) > FORGET_AFTER && !state.settings.hubs.contains(&hub) {
-            state.hubs.lock().remove(&hub);
+        if !answered && state.lose_hub(hub) {
             return;
         }
-        sleep(if answered { LEAST_INTERVAL } else { INTERVAL }).await;
+        let rechosen = state.rechosen.listen();
+        let pause = state.hub_pause(hub);
+        if state.hub_role(hub) == HubRole::Probed {
+            sleep(pause).or(rechosen).await;
+        } else {
+            sleep(pause).await;
+        }
     }
 }
 
@@ -86,10 +103,12 @@
     state: Arc<GatewayState>,
     hub: SocketAddr,
     stub: Stub<HubClient>,
+    heard: Mutex<Heard>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Heard {
     cursor: Cursor,
-    epoch: u64,
-    /// The newest demand that the hub has.
-    demanded: u64,
     /// What the hub counted when it last answered.
     seen: u64,
 }
@@ -101,56 +120,90 @@
             state,
             hub,
             stub: Stub::new(hub, secret),
-            cursor: Cursor::default(),
-            epoch: 0,
-            demanded: 0,
-            seen: 0,
+            heard: Mutex::default(),
+        }
+    }
+
+    /// Asks the hub what it is; returns whether it answered.
+    async fn probe(&self) -> bool {
+        let call = async |client: HubClient, context| client.facts(context).await;
+        match self.stub.call(CALL_LIMIT, call).await {
+            Ok(facts) => {
+                self.learn(facts);
+                true
+            }
+            Err(error) => {
+                log::debug!(target: "gateway", "A hub did not answer: {error}.");
+                false
+            }
+        }
+    }
+
+    /// Reports as often as something is urgent, and never returns.
+    async fn tell_urgent(&self) -> bool {
+        loop {
+            self.state.urgent.listen().await;
+            let pause = self.state.hubs.lock().pause();
+            sleep(pause).await;
+            self.tell(Duration::ZERO, true).await;
         }
     }
 
-    /// Reports once, and waits for news for at most `wait`; returns whether the hub answered.
-    async fn tell(&mut self, wait: Duration) -> bool {
+    /// Reports once, and waits for news for at most `wait`; returns whether the
+    /// hub answered. Demand goes to the primary hub alone.
+    async fn tell(&self, wait: Duration, is_primary: bool) -> bool {
         let state = &self.state;
-        let (demanded, demand) = state.demand_since(self.demanded);
+        let demand = if is_primary {
+            state.demand_batches()
+        } else {
+            Vec::new()
+        };
+        let newest = demand.last().map_or(0, |batch| batch.number);
         let used = state.used();
+        let heard = *self.heard.lock();
         let report = GatewayReport {
             host: state.settings.host.clone(),
             incarnation: state.incarnation,
             leaving: state.leaving.load(Ordering::Relaxed),
             version: state.index().version(),
-            cursor: self.cursor,
+            cursor: heard.cursor,
             used: used.clone(),
             demand,
             unreachable: state.unreachable(),
-            seen: self.seen,
+            seen: heard.seen,
             wait: u64::try_from(wait.as_millis()).unwrap_or_default(),
         };
         let call = async |client: HubClient, context| client.sync(context, report).await;
-        let news = match self.stub.call(CALL_LIMIT, call).await {
+        let news: HubNews = match self.stub.call(CALL_LIMIT, call).await {
             Ok(news) => news,
             Err(error) => {
                 log::debug!(target: "gateway", "A hub did not answer: {error}.");
                 return false;
             }
         };
-        // A hub that started anew knows of no demand.
-        self.demanded = if news.epoch == self.epoch {
-            demanded
-        } else {
-            0
+        state.demand_taken(newest);
+        *self.heard.lock() = Heard {
+            cursor: news.roster.cursor,
+            seen: news.seen,
         };
-        self.epoch = news.epoch;
-        self.cursor = news.roster.cursor;
-        self.seen = news.seen;
-        self.learn_hubs(&news.hubs);
+        self.learn(news.facts.clone());
         state.hear(self.hub, news, &used);
         true
     }
 
-    fn learn_hubs(&self, hosts: &[std::net::IpAddr]) {
+    /// Takes in what the hub is and which others there are.
+    fn learn(&self, facts: HubFacts) {
+        let now = self.state.now();
         let mut hubs = self.state.hubs.lock();
-        for host in hosts {
-            hubs.insert(SocketAddr::new(*host, self.hub.port()));
+        for host in facts.hubs {
+            let hub: IpAddr = host;
+            hubs.add(now, SocketAddr::new(hub, self.hub.port()), false);
         }
+        let fact = HubFact {
+            centre: facts.centre,
+            leads: facts.leads,
+            age: Duration::from_millis(facts.age),
+        };
+        hubs.hear(now, self.hub, fact);
     }
 }
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -5,15 +5,16 @@
 use sequoiawing_catalog::{Catalog, CatalogIndex, Client};
 use sequoiawing_fleet::{Cursor, Interest, Listed, Roster};
 use sequoiawing_http::Client as HttpClient;
-use sequoiawing_link::{HubNews, ModelDemand, PlannedLoad};
+use sequoiawing_link::{DemandBatch, HubNews, ModelDemand, OrderedLoads, PlannedLoad};
 use sequoiawing_policy::serving::{
-    Assigned, Balancer, Ended, Pick, RateView, ReportedLoad, RetryWindow, ServingWork, SharedRate,
+    Assigned, Balancer, Ended, HubChoice, HubRole, Pick, RateView, ReportedLoad, RetryWindow,
+    ServingWork, SharedRate,
 };
 use sequoiawing_runtime::Clock;
 use sequoiawing_telemetry::Meters;
 use sequoiawing_types::{Name, Time};
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
     sync::{
         Arc,
@@ -34,11 +35,16 @@
 /// reporting intervals.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(1_500);
 
+/// The batches of demand that are kept for a hub; older demand is out of date.
+const MAX_BATCHES: usize = 16;
+
 /// What the gateway heard from one hub.
 #[derive(Debug, Default)]
 struct HubView {
     heard: Time,
     epoch: u64,
+    /// Whether its sums are whole.
+    is_settled: bool,
     silent: HashSet<Name>,
 }
 
@@ -50,14 +56,20 @@
     counted: Option<(SocketAddr, u64)>,
     gateways: u32,
     missing: u32,
+    /// The term of the leader whose loads are known.
+    term: u64,
     loads: Vec<(Time, PlannedLoad)>,
 }
 
-/// One model's demand, and when it last changed.
+/// What the primary hub has not been told of the demand for models.
 #[derive(Debug, Default)]
 struct Demanded {
-    demand: ModelDemand,
-    changed: u64,
+    /// What came since the last batch.
+    fresh: HashMap<DemandKey, ModelDemand>,
+    /// The batches that are reported until a hub has taken them.
+    batches: VecDeque<DemandBatch>,
+    /// The number of the last batch.
+    number: u64,
 }
 
 /// Returns the measures, unless nobody scrapes them.
@@ -98,10 +110,11 @@
     balancer: Mutex<Balancer>,
     rates: Mutex<HashMap<Name, SharedRate>>,
     retries: Mutex<HashMap<Name, RetryWindow>>,
-    demand: Mutex<HashMap<DemandKey, Demanded>>,
-    demanded: AtomicU64,
+    demand: Mutex<Demanded>,
     others: Mutex<Others>,
-    pub(crate) hubs: Mutex<HashSet<SocketAddr>>,
+    pub(crate) hubs: Mutex<HubChoice>,
+    /// Notified when another hub may have to be followed.
+    pub(crate) rechosen: Event,
     /// Whether shutdown has begun.
     pub(crate) leaving: AtomicBool,
     /// Notified when an upstream may have room or a model.
@@ -114,7 +127,10 @@
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, dialect: Arc<dyn Dialect>) -> Self {
         let idle = Duration::from_millis(settings.upstream_idle);
-        let hubs = settings.hubs.iter().copied().collect();
+        let mut hubs = HubChoice::new(settings.centre.clone(), rand::random());
+        for hub in &settings.hubs {
+            hubs.add(Time::ZERO, *hub, true);
+        }
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         let incarnation = since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
         Self {
@@ -130,9 +146,9 @@
             rates: Mutex::default(),
             retries: Mutex::default(),
             demand: Mutex::default(),
-            demanded: AtomicU64::new(0),
             others: Mutex::default(),
             hubs: Mutex::new(hubs),
+            rechosen: Event::new(),
             leaving: AtomicBool::new(false),
             changed: Event::new(),
             urgent: Event::new(),
@@ -227,37 +243,78 @@
             return;
         };
         let key = (work.pool.clone(), model.clone(), work.adapter.clone());
-        let stamp = self.demanded.fetch_add(1, Ordering::Relaxed) + 1;
-        let mut demand = self.demand.lock();
-        let entry = demand.entry(key).or_insert_with(|| Demanded {
-            demand: ModelDemand {
-                pool: work.pool.clone(),
-                model: model.clone(),
-                adapter: work.adapter.clone(),
-                ..ModelDemand::default()
-            },
-            changed: stamp,
+        let mut demanded = self.demand.lock();
+        let demand = demanded.fresh.entry(key).or_insert_with(|| ModelDemand {
+            pool: work.pool.clone(),
+            model: model.clone(),
+            adapter: work.adapter.clone(),
+            ..ModelDemand::default()
         });
-        entry.changed = stamp;
         match noted {
             Noted::Asked { tokens } => {
-                entry.demand.asked += 1;
-                entry.demand.tokens += tokens;
+                demand.asked += 1;
+                demand.tokens += tokens;
                 return;
             }
-            Noted::Missed => entry.demand.missed += 1,
-            Noted::Crowded => entry.demand.crowded += 1,
+            Noted::Missed => demand.missed += 1,
+            Noted::Crowded => demand.crowded += 1,
         }
-        drop(demand);
+        drop(demanded);
         self.urgent.notify(usize::MAX);
     }
 
-    /// Returns the demand that changed since a stamp, and the newest stamp.
-    pub(crate) fn demand_since(&self, stamp: u64) -> (u64, Vec<ModelDemand>) {
-        let newest = self.demanded.load(Ordering::Relaxed);
-        let demand = self.demand.lock();
-        let newer = demand.values().filter(|d| d.changed > stamp);
-        (newest, newer.map(|d| d.demand.clone()).collect())
+    /// Returns the demand to be reported next.
+    pub(crate) fn demand_batches(&self) -> Vec<DemandBatch> {
+        let mut demanded = self.demand.lock();
+        if !demanded.fresh.is_empty() {
+            let fresh = std::mem::take(&mut demanded.fresh);
+            demanded.number += 1;
+            let batch = DemandBatch {
+                number: demanded.number,
+                demand: fresh.into_values().collect(),
+            };
+            demanded.batches.push_back(batch);
+            if demanded.batches.len() > MAX_BATCHES {
+                demanded.batches.pop_front();
+            }
+        }
+        demanded.batches.iter().cloned().collect()
+    }
+
+    /// Notes that a hub has taken the batches up to a number.
+    pub(crate) fn demand_taken(&self, number: u64) {
+        let mut demanded = self.demand.lock();
+        demanded.batches.retain(|b| b.number > number);
+    }
+
+    /// Returns what is wanted of a hub.
+    pub(crate) fn hub_role(&self, hub: SocketAddr) -> HubRole {
+        self.hubs.lock().role(self.now(), hub)
+    }
+
+    /// Notes that a hub did not answer; reports whether it is forgotten.
+    pub(crate) fn lose_hub(&self, hub: SocketAddr) -> bool {
+        let now = self.now();
+        let mut hubs = self.hubs.lock();
+        let was_followed = hubs.role(now, hub) != HubRole::Probed;
+        hubs.fail(now, hub);
+        let is_forgotten = hubs.forget(now, hub);
+        drop(hubs);
+        if was_followed {
+            self.rechosen.notify(usize::MAX);
+        }
+        is_forgotten
+    }
+
+    /// Returns how long to wait before a hub is spoken to again.
+    pub(crate) fn hub_pause(&self, hub: SocketAddr) -> Duration {
+        let now = self.now();
+        let hubs = self.hubs.lock();
+        if hubs.role(now, hub) == HubRole::Probed {
+            hubs.probe_pause(now, hub)
+        } else {
+            hubs.pause()
+        }
     }
 
     /// Returns what each customer used here.
@@ -308,31 +365,12 @@
             self.put_in_force(now, &catalog);
         }
         self.take_roster(now, &news.roster.listed);
+        self.hubs.lock().set_gateways(news.gateways);
         let mut others = self.others.lock();
         others.gateways = news.gateways;
         others.missing = news.missing;
-        if let Some(loads) = news.loads {
-            // Times before this process's start count as its start.
-            let at = |l: &PlannedLoad| match l.late {
-                0 => now + Duration::from_millis(l.ready),
-                _ => now,
-            };
-            let loads: Vec<(Time, PlannedLoad)> = loads.into_iter().map(|l| (at(&l), l)).collect();
-            let expected = loads.iter();
-            let expected = expected.map(|(at, l)| {
-                let is_adapter = l.model.as_str().contains(':');
-                let slack = if is_adapter {
-                    Duration::ZERO
-                } else {
-                    LOAD_SLACK
-                };
-                (l.upstream.clone(), l.model.clone(), *at + slack)
-            });
-            let mut balancer = self.balancer.lock();
-            balancer.set_expected(expected);
-            balancer.set_evicted(news.evicted);
-            drop(balancer);
-            others.loads = loads;
+        if let Some(ordered) = news.ordered {
+            self.take_ordered(now, &mut others, ordered);
         }
         if let Some(meters) = &self.meters {
             meters.set_state(self.index.load().version(), false);
@@ -344,6 +382,7 @@
             HubView {
                 heard: now,
                 epoch: news.epoch,
+                is_settled: news.settled,
                 silent: news.silent.into_iter().collect(),
             },
         );
@@ -357,6 +396,36 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Takes in what the leader has ordered.
+    fn take_ordered(&self, now: Time, others: &mut Others, ordered: OrderedLoads) {
+        if ordered.term < others.term {
+            return;
+        }
+        others.term = ordered.term;
+        // Times before this process's start count as its start.
+        let at = |l: &PlannedLoad| match l.late {
+            0 => now + Duration::from_millis(l.ready),
+            _ => now,
+        };
+        let loads = ordered.loads.into_iter();
+        let loads: Vec<(Time, PlannedLoad)> = loads.map(|l| (at(&l), l)).collect();
+        let expected = loads.iter();
+        let expected = expected.map(|(at, l)| {
+            let is_adapter = l.model.as_str().contains(':');
+            let slack = if is_adapter {
+                Duration::ZERO
+            } else {
+                LOAD_SLACK
+            };
+            (l.upstream.clone(), l.model.clone(), *at + slack)
+        });
+        let mut balancer = self.balancer.lock();
+        balancer.set_expected(expected);
+        balancer.set_evicted(ordered.evicted);
+        drop(balancer);
+        others.loads = loads;
+    }
+
     /// Takes in what all gateways used. A customer that a hub does not list has
     /// used nothing yet, so that its first use elsewhere counts.
     fn count(&self, now: Time, used: &[(Name, u64)], reported: &[(Name, u64)], is_new: bool) {
@@ -467,7 +536,7 @@
     fn counted(&mut self, now: Time) -> (Option<SocketAddr>, bool) {
         let is_fresh = |at: &SocketAddr| {
             let view = self.hubs.get(at);
-            view.is_some_and(|v| now.since(v.heard) <= CUT_OFF_AFTER)
+            view.is_some_and(|v| v.is_settled && now.since(v.heard) <= CUT_OFF_AFTER)
         };
         let kept = self.counted.filter(|(at, _)| is_fresh(at));
         let chosen = kept.map(|(at, _)| at);
--- a/crates/sequoiawing_hub/src/boards.rs
+++ b/crates/sequoiawing_hub/src/boards.rs
@@ -1,4 +1,4 @@
-use sequoiawing_link::{GatewayReport, ModelDemand};
+use sequoiawing_link::{DemandBatch, GatewayReport, GatewayUse, ModelDemand};
 use sequoiawing_types::{Name, Time};
 use serde::Serialize;
 use std::{
@@ -14,7 +14,11 @@
 /// killed one is back or replaced by then.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
 
-/// What one gateway reported.
+/// How long the counters of a gateway are kept, so that what it used before a
+/// long partition is not counted again after it.
+const KEPT_FOR: Duration = Duration::from_mins(10);
+
+/// What one gateway reported, here or to another hub.
 #[derive(Clone, Debug, Serialize)]
 struct Gateway {
     incarnation: u64,
@@ -22,40 +26,86 @@
     leaving: bool,
     used: BTreeMap<Name, u64>,
     unreachable: Vec<Name>,
+    /// The stamp of its last report to this hub; 0 without one.
+    reported: u64,
+}
+
+impl Gateway {
+    fn new(incarnation: u64, heard: Time) -> Self {
+        Self {
+            incarnation,
+            heard,
+            leaving: false,
+            used: BTreeMap::new(),
+            unreachable: Vec::new(),
+            reported: 0,
+        }
+    }
+
+    /// Returns how long it counts as a gateway without a report.
+    fn patience(&self) -> Duration {
+        if self.leaving {
+            MISSING_AFTER
+        } else {
+            FORGOTTEN_AFTER
+        }
+    }
+
+    fn is_present(&self, now: Time) -> bool {
+        now.since(self.heard) <= self.patience()
+    }
 }
 
 /// Adds up what customers used at all gateways.
 ///
 /// The sums only grow, also when a gateway starts anew, so that a gateway that
-/// follows them learns how much was used since it last asked.
+/// follows them learns how much was used since it last asked. Counters are
+/// merged by their maximum, so that a gateway may report to several hubs, and
+/// hubs may pass reports on in any order and more than once.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct UsageBoard {
     gateways: BTreeMap<Name, Gateway>,
     totals: BTreeMap<Name, u64>,
+    stamp: u64,
 }
 
 impl UsageBoard {
     /// Takes in a report.
     pub fn take(&mut self, now: Time, report: &GatewayReport) {
-        let gateway = self.gateways.entry(report.host.clone());
-        let gateway = gateway.or_insert_with(|| Gateway {
+        self.stamp += 1;
+        let stamp = self.stamp;
+        let used = GatewayUse {
+            host: report.host.clone(),
             incarnation: report.incarnation,
-            heard: now,
-            leaving: false,
-            used: BTreeMap::new(),
-            unreachable: Vec::new(),
-        });
-        if report.incarnation < gateway.incarnation {
+            leaving: report.leaving,
+            used: report.used.clone(),
+            unreachable: report.unreachable.clone(),
+            age: 0,
+        };
+        self.merge(now, &used);
+        if let Some(gateway) = self.gateways.get_mut(&report.host) {
+            gateway.reported = stamp;
+        }
+    }
+
+    /// Takes in what a gateway told another hub.
+    pub fn merge(&mut self, now: Time, told: &GatewayUse) {
+        // What was told before this process started counts from its start.
+        let heard = Time::ZERO + now.since(Time::ZERO + Duration::from_millis(told.age));
+        let gateway = self.gateways.entry(told.host.clone());
+        let gateway = gateway.or_insert_with(|| Gateway::new(told.incarnation, heard));
+        if told.incarnation < gateway.incarnation {
             return;
         }
-        if report.incarnation > gateway.incarnation {
-            gateway.incarnation = report.incarnation;
-            gateway.used.clear();
+        if told.incarnation > gateway.incarnation {
+            *gateway = Gateway::new(told.incarnation, heard);
         }
-        gateway.heard = now;
-        gateway.leaving = report.leaving;
-        gateway.unreachable.clone_from(&report.unreachable);
-        for (customer, used) in &report.used {
+        if heard >= gateway.heard {
+            gateway.heard = heard;
+            gateway.leaving = told.leaving;
+            gateway.unreachable.clone_from(&told.unreachable);
+        }
+        for (customer, used) in &told.used {
             let known = gateway.used.entry(customer.clone()).or_default();
             let fresh = used.saturating_sub(*known);
             *known += fresh;
@@ -63,16 +113,25 @@
         }
     }
 
-    /// Forgets gateways that left or were silent for long.
+    /// Returns what gateways told this hub since a stamp, and the newest stamp.
+    pub fn since(&self, now: Time, stamp: u64) -> (u64, Vec<GatewayUse>) {
+        // A stamp of a former start of this hub is beyond the present ones.
+        let after = if stamp > self.stamp { 0 } else { stamp };
+        let newer = self.gateways.iter().filter(|(_, g)| g.reported > after);
+        let told = newer.map(|(host, g)| GatewayUse {
+            host: host.clone(),
+            incarnation: g.incarnation,
+            leaving: g.leaving,
+            used: g.used.iter().map(|(n, u)| (n.clone(), *u)).collect(),
+            unreachable: g.unreachable.clone(),
+            age: u64::try_from(now.since(g.heard).as_millis()).unwrap_or(u64::MAX),
+        });
+        (self.stamp, told.collect())
+    }
+
+    /// Forgets gateways that left or were silent for very long.
     pub fn expire(&mut self, now: Time) {
-        let limit = |g: &Gateway| {
-            if g.leaving {
-                MISSING_AFTER
-            } else {
-                FORGOTTEN_AFTER
-            }
-        };
-        self.gateways.retain(|_, g| now.since(g.heard) <= limit(g));
+        self.gateways.retain(|_, g| now.since(g.heard) <= KEPT_FOR);
     }
 
     /// Returns what each customer used in all.
@@ -85,66 +144,51 @@
     /// not reach just now.
     pub fn unreachable(&self, now: Time) -> BTreeSet<Name> {
         let is_fresh = |g: &&Gateway| now.since(g.heard) <= MISSING_AFTER;
-        let fresh: Vec<&Gateway> = self.gateways.values().filter(is_fresh).collect();
-        let named = fresh.iter().flat_map(|g| &g.unreachable);
-        let is_agreed = |name: &&Name| {
-            let count = fresh.iter().filter(|g| g.unreachable.contains(name));
-            count.count() * 2 > fresh.len()
-        };
-        named.filter(is_agreed).cloned().collect()
+        let fresh = self.gateways.values().filter(is_fresh);
+        let mut gateways = 0;
+        let mut counts: BTreeMap<&Name, usize> = BTreeMap::new();
+        for gateway in fresh {
+            gateways += 1;
+            for name in &gateway.unreachable {
+                *counts.entry(name).or_default() += 1;
+            }
+        }
+        let agreed = counts.into_iter().filter(|(_, count)| count * 2 > gateways);
+        agreed.map(|(name, _)| name.clone()).collect()
     }
 
     /// Returns the number of gateways, and of those that are missing.
     pub fn gateways(&self, now: Time) -> (u32, u32) {
-        let is_missing = |g: &&Gateway| now.since(g.heard) > MISSING_AFTER;
-        let missing = self.gateways.values().filter(is_missing).count();
+        let present: Vec<&Gateway> = self
+            .gateways
+            .values()
+            .filter(|g| g.is_present(now))
+            .collect();
+        let is_missing = |g: &&&Gateway| now.since(g.heard) > MISSING_AFTER;
+        let missing = present.iter().filter(is_missing).count();
         let count = |n| u32::try_from(n).unwrap_or(u32::MAX);
-        (count(self.gateways.len()), count(missing))
+        (count(present.len()), count(missing))
     }
 }
 
-/// A model or adapter that gateways are asked for.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-struct DemandKey {
-    pool: Name,
-    model: Name,
-    adapter: Option<Name>,
-}
-
 /// Finds out what is new in the demand that gateways report.
 #[derive(Clone, Debug, Default)]
 pub struct DemandBoard {
-    gateways: BTreeMap<Name, (u64, BTreeMap<DemandKey, ModelDemand>)>,
+    /// The incarnation and the last batch of each gateway.
+    gateways: BTreeMap<Name, (u64, u64)>,
 }
 
 impl DemandBoard {
-    /// Takes in a report and returns the demand since the one before.
+    /// Takes in a report and returns the demand of the batches that are new.
     pub fn take(&mut self, report: &GatewayReport) -> Vec<ModelDemand> {
         let known = self.gateways.entry(report.host.clone()).or_default();
-        if report.incarnation < known.0 {
-            return Vec::new();
-        }
-        if report.incarnation > known.0 {
-            *known = (report.incarnation, BTreeMap::new());
-        }
-        let fresh = report.demand.iter().map(|demand| {
-            let key = DemandKey {
-                pool: demand.pool.clone(),
-                model: demand.model.clone(),
-                adapter: demand.adapter.clone(),
-            };
-            let former = known.1.insert(key, demand.clone()).unwrap_or_default();
-            ModelDemand {
-                asked: demand.asked.saturating_sub(former.asked),
-                tokens: demand.tokens.saturating_sub(former.tokens),
-                missed: demand.missed.saturating_sub(former.missed),
-                crowded: demand.crowded.saturating_sub(former.crowded),
-                ..demand.clone()
-            }
-        });
-        fresh
-            .filter(|d| d.asked + d.missed + d.crowded > 0)
-            .collect()
+        let former = *known;
+        let is_new = |batch: &&DemandBatch| (report.incarnation, batch.number) > former;
+        let fresh: Vec<&DemandBatch> = report.demand.iter().filter(is_new).collect();
+        let newest = fresh.iter().map(|b| (report.incarnation, b.number)).max();
+        *known = newest.unwrap_or(former);
+        let demand = fresh.into_iter().flat_map(|b| b.demand.iter().cloned());
+        demand.collect()
     }
 
     /// Forgets gateways that no longer report.
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -1,11 +1,12 @@
-use crate::{DemandBoard, Ordering, UsageBoard, loader, mirror, service::HubService};
+use crate::{DemandBoard, Ordering, UsageBoard, loader, mirror, relay, service::HubService};
+use event_listener::Event;
 use parking_lot::Mutex;
 use sequoiawing_catalog::Document;
 use sequoiawing_controller::ControllerHandle;
 use sequoiawing_fleet::{Interest, Roster, UpstreamState};
 use sequoiawing_link::{
-    ControlError, GatewayReport, Hub as _, HubClient, HubNews, LinkListener, ModelDemand,
-    PlannedLoad, Secret, Stub, answer_calls,
+    ControlError, GatewayReport, Hub as _, HubClient, HubFacts, HubNews, LinkListener, MirrorNews,
+    MirrorRequest, ModelDemand, OrderedLoads, PlannedLoad, Secret, Stub, answer_calls,
 };
 use sequoiawing_runtime::{Clock, Shutdown, Watch, sleep, spawn, timeout};
 use sequoiawing_tables::{Command, Outcome};
@@ -31,11 +32,20 @@
 /// How long a proposal waits before it asks again who leads.
 const LEADER_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long after the start of a hub its sums may lack gateways: they report
+/// to it or to another hub within a few of their intervals.
+const SETTLED_AFTER: Duration = Duration::from_secs(2);
+
+/// How long what a leader ordered is passed on without news of it.
+const ORDERED_LIFE: Duration = Duration::from_secs(2);
+
 /// The settings of a hub.
 #[derive(Clone, Debug)]
 pub struct HubSettings {
     /// The name of this host.
     pub host: Name,
+    /// The data centre of this host.
+    pub centre: Name,
     /// Where gateways and other hubs connect; the port is the same on all
     /// hosts with a hub.
     pub link: SocketAddr,
@@ -52,15 +62,20 @@
     pub(crate) epoch: u64,
     clock: Clock,
     pub(crate) roster: Mutex<Roster>,
-    usage: Mutex<UsageBoard>,
+    pub(crate) usage: Mutex<UsageBoard>,
     demand: Mutex<DemandBoard>,
     /// The demand that the loader has not seen.
     pub(crate) fresh: Mutex<Vec<ModelDemand>>,
-    /// Counts what the loader should look at soon.
+    /// The demand that the leader's hub has not been told.
+    pub(crate) relayed: Mutex<Vec<ModelDemand>>,
+    /// Notified when there is demand to relay.
+    pub(crate) relaying: Event,
+    /// Counts what gateways and other hubs should look at soon.
     pub(crate) stirred: Watch<u64>,
-    /// The loads under way, as of a time, while this host gives the orders.
-    pub(crate) loads: Mutex<Option<(Time, Vec<PlannedLoad>)>>,
-    pub(crate) evicted: Mutex<Vec<(Name, Name)>>,
+    /// Counts what the loader alone should look at soon.
+    pub(crate) asked: Watch<u64>,
+    /// What the leader ordered, and when that was heard.
+    pub(crate) ordered: Mutex<Option<(Time, OrderedLoads)>>,
     /// The upstreams that most gateways can't reach.
     pub(crate) unreachable: Mutex<BTreeSet<Name>>,
     stubs: Mutex<HashMap<IpAddr, Stub<HubClient>>>,
@@ -90,9 +105,10 @@
         hosts
     }
 
-    /// Has the loader look again.
+    /// Has gateways, other hubs and the loader look again.
     pub(crate) fn stir(&self) {
         self.stirred.set(self.stirred.get() + 1);
+        self.wake_loader();
     }
 
     /// Takes in a report, and answers as soon as something is new.
@@ -105,28 +121,56 @@
     }
 
     fn take(&self, report: &GatewayReport) {
-        let now = self.now();
         let fresh = self.demand.lock().take(report);
-        if !fresh.is_empty() && self.handle.leadership().is_some() {
-            let has_missed = fresh.iter().any(|d| d.missed + d.crowded > 0);
-            self.fresh.lock().extend(fresh);
-            if has_missed {
-                self.stir();
-            }
+        if self.handle.leadership().is_some() {
+            self.take_demand(fresh);
+        } else if !fresh.is_empty() {
+            self.relayed.lock().extend(fresh);
+            self.relaying.notify(1);
         }
-        let mut usage = self.usage.lock();
-        usage.take(now, report);
-        let unreachable = usage.unreachable(now);
-        drop(usage);
+        self.usage.lock().take(self.now(), report);
+        self.look_at_reach();
+    }
+
+    /// Hands demand to the loader, if it works here.
+    pub(crate) fn take_demand(&self, fresh: Vec<ModelDemand>) {
+        if fresh.is_empty() || self.handle.leadership().is_none() {
+            return;
+        }
+        let has_missed = fresh.iter().any(|d| d.missed + d.crowded > 0);
+        self.fresh.lock().extend(fresh);
+        if has_missed {
+            self.wake_loader();
+        }
+    }
+
+    /// Has the loader look again.
+    pub(crate) fn wake_loader(&self) {
+        self.asked.set(self.asked.get() + 1);
+    }
+
+    /// Finds out which upstreams most gateways can't reach.
+    pub(crate) fn look_at_reach(&self) {
+        let unreachable = self.usage.lock().unreachable(self.now());
         let mut known = self.unreachable.lock();
         if *known != unreachable {
             log::info!(
-                target: "hub", upstreams = names(unreachable.iter()), by = report.host.as_str();
+                target: "hub", upstreams = names(unreachable.iter());
                 "Other upstreams are out of the gateways' reach than before."
             );
             *known = unreachable;
             drop(known);
-            self.stir();
+            self.wake_loader();
+        }
+    }
+
+    /// Returns what this hub is.
+    pub(crate) fn facts(&self) -> HubFacts {
+        HubFacts {
+            centre: self.settings.centre.clone(),
+            hubs: self.hubs(),
+            leads: self.handle.leadership().is_some(),
+            age: u64::try_from(self.handle.age().as_millis()).unwrap_or(u64::MAX),
         }
     }
 
@@ -144,30 +188,76 @@
         let catalog = self.handle.tables().catalog.clone();
         HubNews {
             epoch: self.epoch,
+            facts: self.facts(),
             catalog: (catalog.version > report.version).then_some(catalog),
             roster: news,
             silent,
             used,
+            settled: now >= Time::ZERO + SETTLED_AFTER,
             gateways,
             missing,
-            hubs: self.hubs(),
-            loads: self.planned(now),
-            evicted: self.evicted.lock().clone(),
+            ordered: self.ordered(now),
+            seen,
+        }
+    }
+
+    /// Answers another hub, as soon as something is new.
+    pub(crate) async fn mirror(&self, request: &MirrorRequest) -> MirrorNews {
+        let wait = Duration::from_millis(request.wait);
+        let is_new = |seen: &u64| *seen != request.seen;
+        timeout(wait, self.stirred.wait_until(is_new)).await;
+        let now = self.now();
+        let seen = self.stirred.get();
+        let roster = self.roster.lock();
+        let roster = roster.since(request.cursor, Interest::Announcements);
+        let (stamp, uses) = self.usage.lock().since(now, request.stamp);
+        let leads = self.handle.leadership().is_some();
+        MirrorNews {
+            roster,
+            uses,
+            stamp,
+            ordered: self.ordered(now).filter(|_| leads),
             seen,
         }
     }
 
-    /// Returns the loads under way, by the time of now.
-    fn planned(&self, now: Time) -> Option<Vec<PlannedLoad>> {
-        let loads = self.loads.lock().clone();
-        let (at, loads) = loads?;
+    /// Takes in what the leader's hub says that it ordered.
+    pub(crate) fn take_ordered(&self, ordered: OrderedLoads) {
+        let now = self.now();
+        let mut known = self.ordered.lock();
+        if known.as_ref().is_some_and(|(_, o)| o.term > ordered.term) {
+            return;
+        }
+        let names = |ordered: &OrderedLoads| -> Vec<(Name, Name)> {
+            let loads = ordered.loads.iter();
+            loads
+                .map(|l| (l.model.clone(), l.upstream.clone()))
+                .collect()
+        };
+        let is_same = known.as_ref().is_some_and(|(_, former)| {
+            former.evicted == ordered.evicted && names(former) == names(&ordered)
+        });
+        *known = Some((now, ordered));
+        drop(known);
+        if !is_same {
+            self.stir();
+        }
+    }
+
+    /// Returns what the leader ordered, by the time of now.
+    fn ordered(&self, now: Time) -> Option<OrderedLoads> {
+        let ordered = self.ordered.lock().clone();
+        let (at, ordered) = ordered.filter(|(at, _)| now.since(*at) <= ORDERED_LIFE)?;
         let age = u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
-        let aged = loads.into_iter().map(|load| PlannedLoad {
+        let aged = ordered.loads.into_iter().map(|load| PlannedLoad {
             ready: load.ready.saturating_sub(age),
             late: load.late + age.saturating_sub(load.ready),
             ..load
         });
-        Some(aged.collect())
+        Some(OrderedLoads {
+            loads: aged.collect(),
+            ..ordered
+        })
     }
 
     fn expire(&self) {
@@ -195,7 +285,7 @@
         serde_json::json!({
             "upstreams": upstreams,
             "usage": *self.usage.lock(),
-            "loads": self.planned(self.now()),
+            "ordered": self.ordered(self.now()),
             "version": self.handle.tables().catalog.version,
         })
     }
@@ -239,9 +329,11 @@
             usage: Mutex::default(),
             demand: Mutex::default(),
             fresh: Mutex::default(),
+            relayed: Mutex::default(),
+            relaying: Event::new(),
             stirred: Watch::default(),
-            loads: Mutex::default(),
-            evicted: Mutex::default(),
+            asked: Watch::default(),
+            ordered: Mutex::default(),
             unreachable: Mutex::default(),
             stubs: Mutex::default(),
         });
@@ -250,6 +342,7 @@
         };
         spawn(listener.serve(answer_calls!(service.serve()), shutdown.clone())).detach();
         spawn(mirror::follow_others(state.clone(), shutdown.clone())).detach();
+        spawn(relay::relay_demand(state.clone(), shutdown.clone())).detach();
         if let Some(ordering) = ordering {
             spawn(loader::run(state.clone(), ordering, shutdown.clone())).detach();
         }
--- a/crates/sequoiawing_hub/src/lib.rs
+++ b/crates/sequoiawing_hub/src/lib.rs
@@ -10,6 +10,7 @@
 mod hub;
 mod loader;
 mod mirror;
+mod relay;
 mod service;
 
 pub use boards::{DemandBoard, UsageBoard};
--- a/crates/sequoiawing_hub/src/loader.rs
+++ b/crates/sequoiawing_hub/src/loader.rs
@@ -8,7 +8,7 @@
 use futures_lite::FutureExt;
 use sequoiawing_controller::Leadership;
 use sequoiawing_fleet::{Cursor, Interest, UpstreamState};
-use sequoiawing_link::PlannedLoad;
+use sequoiawing_link::{OrderedLoads, PlannedLoad};
 use sequoiawing_policy::serving::{EngineReply, LoaderAction, LoaderEvent, ModelLoader};
 use sequoiawing_runtime::{Shutdown, sleep, spawn};
 use sequoiawing_types::{Name, Time};
@@ -22,7 +22,7 @@
 const INTERVAL: Duration = Duration::from_millis(100);
 
 /// The shortest time between two looks.
-const LEAST_INTERVAL: Duration = Duration::from_millis(10);
+const LEAST_INTERVAL: Duration = Duration::from_millis(15);
 
 /// The term of the first leader that a deployment has.
 const FIRST_TERM: u64 = 1;
@@ -45,7 +45,7 @@
         if shutdown.or(lead.run()).await.is_none() {
             return;
         }
-        *state.loads.lock() = None;
+        *state.ordered.lock() = None;
         log::info!(target: "loader", term = lease.term; "This host gives no more orders.");
     }
 }
@@ -89,12 +89,12 @@
     }
 
     async fn run(mut self) {
-        let mut seen = self.state.stirred.get();
+        let mut seen = self.state.asked.get();
         while self.lease().is_some() {
             self.look();
-            let stirred = self.state.stirred.clone();
-            let is_stirred = async {
-                stirred.wait_until(|now| *now != seen).await;
+            let asked = self.state.asked.clone();
+            let is_asked = async {
+                asked.wait_until(|now| *now != seen).await;
                 None
             };
             let result = async { self.results.recv().await.ok() };
@@ -102,9 +102,9 @@
                 sleep(INTERVAL).await;
                 None
             };
-            let first = result.or(is_stirred).or(tick).await;
+            let first = result.or(is_asked).or(tick).await;
             sleep(LEAST_INTERVAL).await;
-            seen = stirred.get();
+            seen = asked.get();
             let results = std::iter::from_fn(|| self.results.try_recv().ok());
             let results: Vec<_> = first.into_iter().chain(results).collect();
             for result in results {
@@ -172,7 +172,7 @@
         }
     }
 
-    /// Shows gateways what is being loaded and evicted.
+    /// Shows gateways and other hubs what is being loaded and evicted.
     fn publish(&self, now: Time) {
         let plans = self.loader.plans().into_iter();
         let loads = plans.map(|plan| {
@@ -186,27 +186,11 @@
                 late: u64::try_from(late).unwrap_or(u64::MAX),
             }
         });
-        let loads: Vec<PlannedLoad> = loads.collect();
-        let evicted = self.loader.evicted();
-        let mut shown = self.state.loads.lock();
-        let former = shown.replace((now, loads));
-        let shown_loads = shown.as_ref().map(|(_, loads)| loads.as_slice());
-        let names = |loads: &[PlannedLoad]| -> Vec<(Name, Name)> {
-            let names = loads.iter();
-            names
-                .map(|l| (l.model.clone(), l.upstream.clone()))
-                .collect()
-        };
-        let before = former.as_ref().map(|(_, loads)| names(loads));
-        let after = shown_loads.map(names);
-        drop(shown);
-        let mut shown = self.state.evicted.lock();
-        let has_changed = before != after || *shown != evicted;
-        *shown = evicted;
-        drop(shown);
-        if has_changed {
-            self.state.stir();
-        }
+        self.state.take_ordered(OrderedLoads {
+            term: self.term,
+            loads: loads.collect(),
+            evicted: self.loader.evicted(),
+        });
     }
 
     fn carry_out(&self, actions: Vec<LoaderAction>) {
--- a/crates/sequoiawing_hub/src/service.rs
+++ b/crates/sequoiawing_hub/src/service.rs
@@ -1,7 +1,9 @@
 use crate::hub::HubState;
 use sequoiawing_catalog::Document;
-use sequoiawing_fleet::{Cursor, Interest, RosterNews};
-use sequoiawing_link::{Context, ControlError, GatewayReport, Hub, HubNews};
+use sequoiawing_link::{
+    Context, ControlError, GatewayReport, Hub, HubFacts, HubNews, MirrorNews, MirrorRequest,
+    ModelDemand,
+};
 use std::sync::Arc;
 
 /// Answers the calls of gateways and other hubs.
@@ -15,9 +17,16 @@
         self.state.sync(&report).await
     }
 
-    async fn mirror(self, _: Context, cursor: Cursor) -> RosterNews {
-        let roster = self.state.roster.lock();
-        roster.since(cursor, Interest::Announcements)
+    async fn facts(self, _: Context) -> HubFacts {
+        self.state.facts()
+    }
+
+    async fn mirror(self, _: Context, request: MirrorRequest) -> MirrorNews {
+        self.state.mirror(&request).await
+    }
+
+    async fn demand(self, _: Context, demand: Vec<ModelDemand>) {
+        self.state.take_demand(demand);
     }
 
     async fn replace(self, _: Context, document: Document) -> Result<u64, ControlError> {
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use std::{net::IpAddr, sync::Arc};
 
-/// What one gateway was asked for of a model or adapter since its start.
+/// What one gateway was asked for of a model or adapter since the batch before.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(default)]
 pub struct ModelDemand {
@@ -25,10 +25,30 @@
     pub crowded: u64,
 }
 
+impl ModelDemand {
+    /// Adds what was asked of the same model or adapter.
+    pub fn add(&mut self, other: &Self) {
+        self.asked += other.asked;
+        self.tokens += other.tokens;
+        self.missed += other.missed;
+        self.crowded += other.crowded;
+    }
+}
+
+/// Demand that a gateway reports together until a hub has taken it.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct DemandBatch {
+    /// Counts the batches of one start of the gateway from 1 on.
+    pub number: u64,
+    /// The demand.
+    pub demand: Vec<ModelDemand>,
+}
+
 /// What a gateway tells a hub.
 ///
-/// Counters run from the start of the gateway, so that lost and repeated
-/// reports do no harm.
+/// The counters of use run from the start of the gateway, and demand comes in
+/// numbered batches, so that lost and repeated reports do no harm.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(default)]
 pub struct GatewayReport {
@@ -44,8 +64,8 @@
     pub cursor: Cursor,
     /// The units that each customer used here.
     pub used: Vec<(Name, u64)>,
-    /// What changed of the demand since the hub last answered.
-    pub demand: Vec<ModelDemand>,
+    /// The demand that no hub is known to have taken; told to one hub only.
+    pub demand: Vec<DemandBatch>,
     /// The upstreams that could not be reached just now.
     pub unreachable: Vec<Name>,
     /// What the hub counted when it last answered.
@@ -70,41 +90,120 @@
     pub late: u64,
 }
 
+/// What one gateway last told of itself, as hubs pass it on to each other.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct GatewayUse {
+    /// The gateway's host.
+    pub host: Name,
+    /// Names its start; a later one is higher.
+    pub incarnation: u64,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// The units that each customer used there.
+    pub used: Vec<(Name, u64)>,
+    /// The upstreams that it could not reach.
+    pub unreachable: Vec<Name>,
+    /// How long ago it told, in milliseconds.
+    pub age: u64,
+}
+
+/// The loads and evictions that a leader has ordered.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct OrderedLoads {
+    /// The leader's term; plans of a lower one are out of date.
+    pub term: u64,
+    /// The loads under way.
+    pub loads: Vec<PlannedLoad>,
+    /// The models that upstreams were told to give up, with the upstreams.
+    pub evicted: Vec<(Name, Name)>,
+}
+
+/// What a hub is, as far as it helps gateways to choose among hubs.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct HubFacts {
+    /// Its data centre.
+    pub centre: Name,
+    /// The hosts of all hubs.
+    pub hubs: Vec<IpAddr>,
+    /// Whether its controller leads the log.
+    pub leads: bool,
+    /// How long ago its controller was in touch with the log's majority, in
+    /// milliseconds.
+    pub age: u64,
+}
+
 /// What a hub answers to a gateway.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 #[serde(default)]
 pub struct HubNews {
     /// Names the start of the hub.
     pub epoch: u64,
+    /// What the hub is.
+    pub facts: HubFacts,
     /// The configuration, if it is newer than the gateway's.
     pub catalog: Option<Arc<Catalog>>,
     /// What is new in the roster.
     pub roster: RosterNews,
     /// The upstreams that have been silent for long.
     pub silent: Vec<Name>,
-    /// The units that each customer used at all gateways that report here.
+    /// The units that each customer used at all gateways.
     pub used: Vec<(Name, u64)>,
-    /// The gateways that report here.
+    /// Whether the hub has been up for long enough that the sums are whole.
+    pub settled: bool,
+    /// The gateways.
     pub gateways: u32,
     /// Those among them that stopped to report without saying that they leave.
     pub missing: u32,
-    /// The hosts of all hubs.
-    pub hubs: Vec<IpAddr>,
-    /// The loads under way; told by the hub that orders them only.
-    pub loads: Option<Vec<PlannedLoad>>,
-    /// The models that upstreams were told to give up, with the upstreams.
-    pub evicted: Vec<(Name, Name)>,
+    /// What the leader has ordered, as far as the hub knows.
+    pub ordered: Option<OrderedLoads>,
     /// Counts what was new; handed back in the next report.
     pub seen: u64,
 }
 
+/// What a hub asks another hub for.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct MirrorRequest {
+    /// How far it has the other's roster.
+    pub cursor: Cursor,
+    /// How far it has what gateways told the other.
+    pub stamp: u64,
+    /// What the other counted when it last answered.
+    pub seen: u64,
+    /// How long the answer may wait until something is new, in milliseconds.
+    pub wait: u64,
+}
+
+/// What a hub answers to another hub.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct MirrorNews {
+    /// What is new in the roster.
+    pub roster: RosterNews,
+    /// What gateways told the hub itself.
+    pub uses: Vec<GatewayUse>,
+    /// How far that goes.
+    pub stamp: u64,
+    /// What it has ordered, if its controller leads the log.
+    pub ordered: Option<OrderedLoads>,
+    /// Counts what was new; handed back in the next request.
+    pub seen: u64,
+}
+
 /// The calls that a hub answers to gateways and other hubs.
 #[tarpc::service]
 pub trait Hub {
     /// Takes in what a gateway reports and returns what is new to it.
     async fn sync(report: GatewayReport) -> HubNews;
-    /// Returns the announcements that are new to another hub.
-    async fn mirror(cursor: Cursor) -> RosterNews;
+    /// Returns what the hub is.
+    async fn facts() -> HubFacts;
+    /// Returns what is new to another hub.
+    async fn mirror(request: MirrorRequest) -> MirrorNews;
+    /// Takes in demand that gateways reported to another hub.
+    async fn demand(demand: Vec<ModelDemand>);
     /// Puts a configuration in force unless the present one is as new, and
     /// returns the version in force.
     async fn replace(document: Document) -> Result<u64, ControlError>;
--- a/crates/sequoiawing_link/src/lib.rs
+++ b/crates/sequoiawing_link/src/lib.rs
@@ -23,7 +23,10 @@
 pub use error::LinkError;
 pub use explain::{Explanation, Question, Step, Verdict};
 pub use handshake::Secret;
-pub use hub::{GatewayReport, Hub, HubClient, HubNews, ModelDemand, PlannedLoad};
+pub use hub::{
+    DemandBatch, GatewayReport, GatewayUse, Hub, HubClient, HubFacts, HubNews, MirrorNews, MirrorRequest,
+    ModelDemand, OrderedLoads, PlannedLoad,
+};
 pub use peer::{Missing, Peer, PeerClient, RouterStatus, UpstreamBatch};
 pub use serve::{Answer, Connection, LinkListener, Transport, channel, spawn_call};
 pub use stub::{Connect, Stub};
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -5,6 +5,7 @@
 
 mod balancer;
 mod engine;
+mod hubs;
 mod loader;
 mod parts;
 mod rate;
@@ -13,6 +14,7 @@
 
 pub use balancer::{Assigned, Balancer, Ended, Pick, ServingWork, UpstreamKey};
 pub use engine::{EngineReply, EngineReport};
+pub use hubs::{HubChoice, HubFact, HubRole};
 pub use loader::{LoadPlan, LoaderAction, LoaderEvent, LoaderSettings, ModelLoader};
 pub use parts::{PartMemory, PromptPart};
 pub use rate::{RateView, SharedRate};
