--- a/crates/sequoiawing_hub/src/boards.rs
+++ b/crates/sequoiawing_hub/src/boards.rs
@@ -73,6 +73,8 @@
     gateways: BTreeMap<Name, Gateway>,
     totals: BTreeMap<Name, u64>,
     stamp: u64,
+    /// Whether a gateway had been used before it was first heard of.
+    is_rebuilt: bool,
 }
 
 impl UsageBoard {
@@ -99,6 +101,9 @@
     pub fn merge(&mut self, now: Time, told: &GatewayUse) {
         // What was told before this process started counts from its start.
         let heard = Time::ZERO + now.since(Time::ZERO + Duration::from_millis(told.age));
+        if !self.gateways.contains_key(&told.host) {
+            self.is_rebuilt |= told.used.iter().any(|(_, used)| *used > 0);
+        }
         let gateway = self.gateways.entry(told.host.clone());
         let gateway = gateway.or_insert_with(|| Gateway::new(told.incarnation, heard));
         if told.incarnation < gateway.incarnation {
@@ -149,6 +154,12 @@
         totals.map(|(name, used)| (name.clone(), *used)).collect()
     }
 
+    /// Reports whether the sums were begun while gateways were in use, as after
+    /// a restart of the hub: they then grow by use that is long past.
+    pub fn is_rebuilt(&self) -> bool {
+        self.is_rebuilt
+    }
+
     /// Returns the upstreams that gateways in touch could not reach just now:
     /// more of them than reached it, and two where there are as many.
     ///
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -39,6 +39,10 @@
 /// How long what a leader ordered is passed on without news of it.
 const ORDERED_LIFE: Duration = Duration::from_secs(2);
 
+/// How long a hub may be out of touch with the log's majority and still be told
+/// what upstreams announce; an election is over by then.
+const LINKED_AGE: Duration = Duration::from_secs(2);
+
 /// The settings of a hub.
 #[derive(Clone, Debug)]
 pub struct HubSettings {
@@ -186,6 +190,7 @@
         let usage = self.usage.lock();
         let (gateways, missing) = usage.gateways(now);
         let used = usage.totals();
+        let settled = !usage.is_rebuilt() || now >= Time::ZERO + SETTLED_AFTER;
         drop(usage);
         let roster = self.roster.lock();
         let news = roster.since(report.cursor, Interest::Changes);
@@ -199,7 +204,7 @@
             roster: news,
             silent,
             used,
-            settled: now >= Time::ZERO + SETTLED_AFTER,
+            settled,
             gateways,
             missing,
             ordered: self.ordered(now),
@@ -386,6 +391,15 @@
         (catalog.version > 0).then_some(is_known)
     }
 
+    /// Reports whether the log's majority was lately in touch with this host.
+    ///
+    /// Upstreams should announce themselves to another hub while it is not: the
+    /// majority, which orders loads and to which gateways turn, would take them
+    /// for silent. What they announce here counts all the same.
+    pub fn is_linked(&self) -> bool {
+        self.state.handle.age() <= LINKED_AGE
+    }
+
     /// Returns the host that leads, if it is another.
     pub fn leader(&self) -> Option<IpAddr> {
         let leader = self.state.handle.status().leader?.ip();
--- a/crates/sequoiawing_hub/tests/boards.rs
+++ b/crates/sequoiawing_hub/tests/boards.rs
@@ -234,3 +234,21 @@
     as_many_that_reached_it_outvote:
         [(&["x"], &[]), (&["x"], &[]), (&[], &["x"]), (&[], &["x"])] => [];
 }
+
+macro_rules! rebuilds {
+    ($($name:ident: [$($report:expr),*] => $is_rebuilt:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut board = UsageBoard::default();
+            for report in [$($report),*] {
+                board.take(Time::ZERO, &report);
+            }
+            assert_eq!(board.is_rebuilt(), $is_rebuilt);
+        }
+    )*};
+}
+
+rebuilds! {
+    sums_of_unused_gateways_are_whole: [report("a", 1, 0), report("a", 1, 5)] => false;
+    sums_begun_amid_use_are_not: [report("a", 1, 0), report("b", 1, 5)] => true;
+}
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -157,7 +157,8 @@
     pub silent: Vec<Name>,
     /// The units that each customer used at all gateways.
     pub used: Vec<(Name, u64)>,
-    /// Whether the hub has been up for long enough that the sums are whole.
+    /// Whether the sums are whole: a hub that starts while gateways are in use
+    /// hears of them one after the other.
     pub settled: bool,
     /// The gateways.
     pub gateways: u32,
--- a/crates/sequoiawing_policy/src/serving/upstream.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream.rs
@@ -17,8 +17,9 @@
 /// again.
 const MISSED_LIFE: Duration = Duration::from_secs(4);
 
-/// How long it is told to others that it was reached.
-const REACHED_LIFE: Duration = Duration::from_secs(2);
+/// How long it is told to others that it was reached: what answered before it
+/// crashed must not outvote those that fail to reach it since.
+const REACHED_LIFE: Duration = Duration::from_millis(600);
 
 /// The weight of the newest end in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
