Write the log lines that wait when a process ends

Change: daemons and the platform's processes flush the logs at their end, for at most half a second, so that a reader that stands still does not hold them up. Beside it: the number of followed hubs is named once.

--- a/crates/sequoiawing_policy/src/serving/hubs.rs
+++ b/crates/sequoiawing_policy/src/serving/hubs.rs
@@ -214,13 +214,14 @@
 
     /// Returns how long to wait between two reports to one hub.
     pub fn pause(&self) -> Duration {
-        let hubs = f64::from(u32::try_from(self.hubs.len().max(1)).unwrap_or(u32::MAX));
+        let hubs = self.hubs.len().max(1);
         let followed = if self.gateways <= ALL_HUBS_GATEWAYS {
             hubs
         } else {
-            hubs.min(2.0)
+            hubs.min(FOLLOWED_HUBS)
         };
-        let reporting = f64::from(self.gateways) * followed / hubs;
+        let count = |n| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
+        let reporting = f64::from(self.gateways) * count(followed) / count(hubs);
         let pause = Duration::from_secs_f64(reporting / HUB_REPORTS);
         pause.clamp(LEAST_PAUSE, MOST_PAUSE)
     }
--- a/crates/sequoiawing_telemetry/src/lib.rs
+++ b/crates/sequoiawing_telemetry/src/lib.rs
@@ -12,6 +12,6 @@
 mod throttle;
 
 pub use listener::serve_metrics;
-pub use logs::{LogFormat, start_logging};
+pub use logs::{LogFormat, finish_logging, start_logging};
 pub use meters::{Asked, MeterError, Meters, Within};
 pub use throttle::{Admitted, Throttle, ThrottleSettings};
--- a/crates/sequoiawing_telemetry/src/logs.rs
+++ b/crates/sequoiawing_telemetry/src/logs.rs
@@ -8,7 +8,11 @@
 };
 use parking_lot::Mutex;
 use sequoiawing_types::Time;
-use std::time::Instant;
+use std::{
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
 
 /// What is logged: all parts from `info` on, but for the calls between
 /// processes, which would be several lines a second.
@@ -54,6 +58,23 @@
     }
 }
 
+/// How long the end of a process waits for lines that are not written yet; a
+/// reader that stands still must not hold it up.
+const LAST_LINES_LIMIT: Duration = Duration::from_millis(500);
+
+/// Writes the lines that still wait, such as the one that says how a process
+/// ended, as far as the reader of the logs takes them at once.
+pub fn finish_logging() {
+    let (sender, written) = mpsc::channel();
+    thread::spawn(move || {
+        log::logger().flush();
+        sender.send(()).ok();
+    });
+    if written.recv_timeout(LAST_LINES_LIMIT).is_err() {
+        eprintln!("The last log lines may be lost: their reader does not take them.");
+    }
+}
+
 /// The target and line of a log statement.
 type Place = (String, Option<u32>);
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,7 +3,7 @@
 use crate::{
     runtime,
     settings::{Check, read_file},
-    telemetry::{LogFormat, start_logging},
+    telemetry::{LogFormat, finish_logging, start_logging},
 };
 use clap::{Arg, ArgAction, Command};
 use serde::de::DeserializeOwned;
@@ -28,7 +28,9 @@
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    match runtime::run(serve(settings)) {
+    let ended = runtime::run(serve(settings));
+    finish_logging();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{name}: {error}");
