Give the gateway's checks one shell

Three filters that only fill in the exchange or refuse repeated the same boxed body and run of the rest of the chain. They are now checks, and one filter runs the chain behind them. Names in the state dump and the order of filters are the same.

--- a/crates/sequoiawing_gateway/src/filters/authenticate.rs
+++ b/crates/sequoiawing_gateway/src/filters/authenticate.rs
@@ -1,5 +1,6 @@
+use super::Check;
 use crate::{GatewayExchange, GatewayState};
-use sequoiawing_router::{Answer, Code, Filter, Next, Refused};
+use sequoiawing_router::{Code, Refused};
 use std::sync::Arc;
 
 /// Finds the customer for whom the request runs, and takes out of the headers
@@ -29,19 +30,12 @@
     }
 }
 
-impl Filter<GatewayExchange> for Authenticate {
+impl Check for Authenticate {
     fn name(&self) -> &'static str {
         "authenticate"
     }
 
-    fn handle<'a>(
-        &'a self,
-        exchange: &'a mut GatewayExchange,
-        next: Next<'a, GatewayExchange>,
-    ) -> Answer<'a> {
-        Box::pin(async move {
-            self.authenticate(exchange)?;
-            next.run(exchange).await
-        })
+    fn check(&self, exchange: &mut GatewayExchange) -> Result<(), Refused> {
+        self.authenticate(exchange)
     }
 }
--- a/crates/sequoiawing_gateway/src/filters/read_call.rs
+++ b/crates/sequoiawing_gateway/src/filters/read_call.rs
@@ -1,5 +1,6 @@
+use super::Check;
 use crate::{GatewayExchange, GatewayState};
-use sequoiawing_router::{Answer, Code, Filter, Next, Refused};
+use sequoiawing_router::{Code, Refused};
 use std::{sync::Arc, time::Duration};
 
 /// When a caller may come back to a host that has no configuration yet.
@@ -16,24 +17,18 @@
     }
 }
 
-impl Filter<GatewayExchange> for ReadCall {
+impl Check for ReadCall {
     fn name(&self) -> &'static str {
         "read-call"
     }
 
-    fn handle<'a>(
-        &'a self,
-        exchange: &'a mut GatewayExchange,
-        next: Next<'a, GatewayExchange>,
-    ) -> Answer<'a> {
-        Box::pin(async move {
-            exchange.call = self.state.dialect.read(&exchange.headers)?;
-            if exchange.index.version() == 0 {
-                let problem = "this host has no configuration yet";
-                let refused = Refused::new(Code::Unavailable, problem);
-                return Err(refused.with_retry(NO_CATALOG_RETRY));
-            }
-            next.run(exchange).await
-        })
+    fn check(&self, exchange: &mut GatewayExchange) -> Result<(), Refused> {
+        exchange.call = self.state.dialect.read(&exchange.headers)?;
+        if exchange.index.version() == 0 {
+            let problem = "this host has no configuration yet";
+            let refused = Refused::new(Code::Unavailable, problem);
+            return Err(refused.with_retry(NO_CATALOG_RETRY));
+        }
+        Ok(())
     }
 }
--- a/crates/sequoiawing_gateway/src/filters/route.rs
+++ b/crates/sequoiawing_gateway/src/filters/route.rs
@@ -1,5 +1,6 @@
+use super::Check;
 use crate::{GatewayExchange, GatewayState};
-use sequoiawing_router::{Answer, Code, Filter, Next, Refused};
+use sequoiawing_router::{Code, Refused};
 use sequoiawing_types::Name;
 use std::sync::Arc;
 
@@ -30,19 +31,12 @@
     }
 }
 
-impl Filter<GatewayExchange> for SelectRoute {
+impl Check for SelectRoute {
     fn name(&self) -> &'static str {
         "route"
     }
 
-    fn handle<'a>(
-        &'a self,
-        exchange: &'a mut GatewayExchange,
-        next: Next<'a, GatewayExchange>,
-    ) -> Answer<'a> {
-        Box::pin(async move {
-            self.select(exchange)?;
-            next.run(exchange).await
-        })
+    fn check(&self, exchange: &mut GatewayExchange) -> Result<(), Refused> {
+        self.select(exchange)
     }
 }
