--- a/crates/sequoiawing_http/tests/listener.rs
+++ b/crates/sequoiawing_http/tests/listener.rs
@@ -22,6 +22,12 @@
 
 const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 
+/// The pieces in which a slow caller sends its body, and the pause after each;
+/// together longer than a closing connection waits for a caller that sends
+/// nothing.
+const SLOW_PIECES: usize = 24;
+const SLOW_PAUSE: Duration = Duration::from_millis(50);
+
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
 
 macro_rules! cases {
@@ -114,4 +120,24 @@
         assert!(response.contains("two"), "{response:?}");
         assert!(!response.ends_with("0\r\n\r\n"), "{response:?}");
     }
+
+    // Guards against a connection that is reset under a caller that still sends,
+    // which loses the response.
+    a_response_reaches_a_caller_that_is_slow_to_send_its_body {
+        let address = start_listener(Vec::new(), 10).await;
+        let mut caller = connect(address);
+        let piece = [b'x'; 1_024];
+        let length = SLOW_PIECES * piece.len();
+        let head = format!("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
+        caller.write_all(head.as_bytes()).expect("the headers are sent");
+        for sent in 0..SLOW_PIECES {
+            let written = caller.write_all(&piece);
+            written.unwrap_or_else(|e| panic!("the connection failed after {sent} pieces: {e}"));
+            std::thread::sleep(SLOW_PAUSE);
+        }
+        let mut response = String::new();
+        caller.read_to_string(&mut response).expect("the response arrives whole");
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+        assert!(response.ends_with("done"), "{response:?}");
+    }
 }
