Read on from a caller that still sends when a response ends its connection

Callers saw a reset connection in place of the response when they took longer than half a second to send the rest of a request that was answered early, as by 413, 401 or 429.

Cause: a closing connection read on for 500 ms in all, whether or not bytes still arrived, and was then closed with unread bytes, which resets it. On a busy machine, bytes that had arrived were not read either, since the timer was looked at before the socket.

The 500 ms now count from the last byte, the socket is read before the timer counts, and 5 s bound the whole, so that a peer that never stops does not hold the connection.

--- a/crates/sequoiawing_http/src/stall.rs
+++ b/crates/sequoiawing_http/src/stall.rs
@@ -1,6 +1,7 @@
 use crate::socket::Socket;
 use futures_lite::FutureExt;
 use hyper::rt::{Read, ReadBufCursor, Write};
+use sequoiawing_runtime::sleep;
 use std::{
     future::Future,
     io,
@@ -11,20 +12,39 @@
 
 type Timer = Pin<Box<dyn Future<Output = ()> + Send>>;
 
-/// How long a closing connection keeps reading from its peer.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a closing connection waits for more bytes from its peer.
+const LINGER_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a closing connection reads in total, so that a peer that never stops
+/// sending does not hold it open.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(5);
 
 /// A connection that fails when writes make no progress for too long, so that a
 /// half-open or very slow caller does not occupy a slot of an upstream.
 ///
-/// On close, it reads and discards what the peer still sends for a short time:
-/// closing a socket with unread bytes resets the connection, and the peer would
-/// lose the response that states the reason.
+/// On close, it reads and discards what the peer still sends, until the peer
+/// pauses: closing a socket with unread bytes resets the connection, and the
+/// peer would lose the response that states the reason.
 pub(crate) struct StallGuard {
     socket: Socket,
     timeout: Duration,
     stall_timer: Option<Timer>,
-    linger_timer: Option<Timer>,
+    linger: Option<Linger>,
+}
+
+/// The timers of a closing connection.
+struct Linger {
+    idle: Timer,
+    total: Timer,
+}
+
+impl Linger {
+    fn start() -> Self {
+        Self {
+            idle: Box::pin(sleep(LINGER_IDLE_TIMEOUT)),
+            total: Box::pin(sleep(MAX_LINGER_TIME)),
+        }
+    }
 }
 
 impl StallGuard {
@@ -34,21 +54,28 @@
             socket,
             timeout,
             stall_timer: None,
-            linger_timer: None,
+            linger: None,
         }
     }
 
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let expired = self.linger_timer.as_mut().map(|timer| timer.poll(cx));
-        if !matches!(expired, Some(Poll::Pending)) {
+        let Some(linger) = &mut self.linger else {
+            return Poll::Ready(Ok(()));
+        };
+        if linger.total.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Ok(()));
         }
-        match ready!(self.socket.poll_discard(cx)) {
-            Ok(1..) => {
+        // Bytes that have arrived count as progress even if this task was not
+        // polled in time.
+        match self.socket.poll_discard(cx) {
+            Poll::Ready(Ok(1..)) => {
+                linger.idle = Box::pin(sleep(LINGER_IDLE_TIMEOUT));
+                // Lets other tasks run while the peer sends without a pause.
                 cx.waker().wake_by_ref();
                 Poll::Pending
             }
-            _ => Poll::Ready(Ok(())),
+            Poll::Ready(_) => Poll::Ready(Ok(())),
+            Poll::Pending => linger.idle.as_mut().poll(cx).map(Ok),
         }
     }
 
@@ -62,7 +89,7 @@
             return progress;
         }
         let timeout = self.timeout;
-        let start_timer = || -> Timer { Box::pin(sequoiawing_runtime::sleep(timeout)) };
+        let start_timer = || -> Timer { Box::pin(sleep(timeout)) };
         let timer = self.stall_timer.get_or_insert_with(start_timer);
         match timer.poll(cx) {
             Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
@@ -97,9 +124,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.linger_timer.is_none() {
+        if self.linger.is_none() {
             ready!(Pin::new(&mut self.socket).poll_shutdown(cx))?;
-            self.linger_timer = Some(Box::pin(sequoiawing_runtime::sleep(LINGER_TIMEOUT)));
+            self.linger = Some(Linger::start());
         }
         self.poll_linger(cx)
     }
