Keep a silent upstream until another one has answered

Callers saw streams closed before their end, and 502 "no upstream has the model loaded" for requests, after an upstream had been silent for a second or so, although it would have gone on.

Cause: a working source was given up before its successor was secured. The gateway closed the connection to a silent upstream first, both in mid-stream and before the head of an answer, and only then looked for another. If that one was full, lacked the model, could not be reached, closed the connection or was silent as well, nothing was left. A change of the configuration is not part of the cause.

The decision is now a state machine of its own, `serving::Hedge`: after a silence the request goes to a second upstream while the first stays connected. The first to go on is used and the other is cancelled at once; a second one that refuses or fails leaves the first, and after a further silence the next is tried, within the route's attempts and the retry budget. A stream counts as answered with its first event, since an upstream may close the connection behind the head. A break while the second attempt runs waits for that attempt. Requests that may run once only are never sent to a second upstream, as before.

The balancer hears of the silence when the search begins, once for all requests that wait at that time, and of its end as soon as the upstream goes on. A pause within an answer without an alternative is not recorded, as before.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -1,6 +1,10 @@
 //! A single attempt to send a request to an upstream.
 
-use crate::{Attempt, GatewayExchange, GatewayState, ResponseKind, slots::Slot};
+use crate::{
+    Attempt, GatewayExchange, GatewayState, ResponseKind,
+    slots::Slot,
+    source::{EventStream, Source},
+};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, Uri, http::response::Parts};
@@ -8,7 +12,8 @@
 use sequoiawing_http::{Body, ClientBody, ClientError, empty, from_bytes};
 use sequoiawing_policy::serving::AttemptOutcome;
 use sequoiawing_runtime::timeout;
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
+use thiserror::Error;
 
 /// The maximum size of a buffered response body, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
@@ -16,64 +21,62 @@
 /// An upstream's response.
 pub(crate) enum UpstreamResponse {
     /// An event stream whose head has been received.
-    Stream(Parts, ClientBody, Slot),
+    Stream(Parts, Source),
     /// A response with its complete body.
     Buffered(Parts, Bytes),
 }
 
-/// The reason why an attempt produced no response.
-#[derive(Debug)]
+/// The reason why an attempt produced no response that ends its request.
+#[derive(Debug, Error)]
 pub(crate) enum AttemptError {
     /// No byte of the request was sent.
+    #[error("the request was not sent: {0}")]
     NotSent(String),
     /// The upstream reported that it did not run the request.
+    #[error("the upstream did not run the request: {0:?}")]
     NotRun(ResponseKind),
     /// The request may have run.
+    #[error("{0}")]
     MayHaveRun(String),
+    /// The upstream answered a request that may be retried with an error.
+    #[error("status {}", .0.status)]
+    ServerError(Box<Parts>, Bytes),
     /// The request's deadline passed; it may have run.
+    #[error("the request's deadline has passed")]
     TimedOut,
 }
 
 /// Sends a request to an upstream and waits for its response, or for the head
 /// of a stream.
-///
-/// With `silence_timeout` the attempt may fail before the request's deadline,
-/// so that another upstream can be tried.
 pub(crate) async fn send(
     state: &Arc<GatewayState>,
     exchange: &GatewayExchange,
     slot: Slot,
     last_event_id: Option<u64>,
-    silence_timeout: Option<Duration>,
 ) -> Result<UpstreamResponse, AttemptError> {
     let remaining = exchange.remaining(state.now());
-    let silence_timeout = silence_timeout.filter(|limit| *limit < remaining);
     let mut slot = slot;
     let receiving = receive(state, exchange, &mut slot, last_event_id);
-    let (outcome, result) =
-        match timeout(silence_timeout.unwrap_or(remaining), Box::pin(receiving)).await {
-            None if silence_timeout.is_some() => {
-                let cause = "the upstream is silent".to_owned();
-                (
-                    AttemptOutcome::Unreachable,
-                    Err(AttemptError::MayHaveRun(cause)),
-                )
-            }
-            None => (AttemptOutcome::Failed, Err(AttemptError::TimedOut)),
-            Some(Ok(Received::Stream(parts, body))) => {
-                return Ok(UpstreamResponse::Stream(parts, body, slot));
-            }
-            Some(Ok(Received::Buffered(parts, bytes))) => {
-                let is_server_error = parts.status.is_server_error();
-                let outcome = if is_server_error {
-                    AttemptOutcome::Failed
-                } else {
-                    AttemptOutcome::Succeeded
-                };
-                (outcome, Ok(UpstreamResponse::Buffered(parts, bytes)))
+    let (outcome, result) = match timeout(remaining, Box::pin(receiving)).await {
+        None => (AttemptOutcome::Failed, Err(AttemptError::TimedOut)),
+        Some(Ok(Received::Stream(parts, body))) => {
+            let stream = EventStream::new(body);
+            return Ok(UpstreamResponse::Stream(parts, Source { stream, slot }));
+        }
+        Some(Ok(Received::Buffered(parts, bytes))) => {
+            if !parts.status.is_server_error() {
+                let response = UpstreamResponse::Buffered(parts, bytes);
+                (AttemptOutcome::Succeeded, Ok(response))
+            } else if exchange.route.repeat == RetryPolicy::Idempotent {
+                let error = AttemptError::ServerError(Box::new(parts), bytes);
+                (AttemptOutcome::Failed, Err(error))
+            } else {
+                let response = UpstreamResponse::Buffered(parts, bytes);
+                (AttemptOutcome::Failed, Ok(response))
             }
-            Some(Err(failure)) => (failure.outcome(), Err(failure)),
-        };
+        }
+        Some(Err(failure)) => (failure.outcome(), Err(failure)),
+    };
     slot.release(outcome);
     result
 }
@@ -84,7 +87,7 @@
         match self {
             Self::NotRun(ResponseKind::Full) => AttemptOutcome::Full,
             Self::NotRun(ResponseKind::Lacking) => AttemptOutcome::ModelMissing,
-            Self::TimedOut => AttemptOutcome::Failed,
+            Self::TimedOut | Self::ServerError(..) => AttemptOutcome::Failed,
             Self::MayHaveRun(_) => AttemptOutcome::Aborted,
             Self::NotSent(_) | Self::NotRun(_) => AttemptOutcome::Unreachable,
         }
--- a/crates/sequoiawing_gateway/src/filters/forward.rs
+++ b/crates/sequoiawing_gateway/src/filters/forward.rs
@@ -1,16 +1,17 @@
 use crate::{
     GatewayExchange, GatewayState, ResponseKind,
     attempt::{AttemptError, UpstreamResponse, buffered_response, send},
+    hedge::{Race, RaceError, Winner},
     relay::relay,
-    slots::SlotSearch,
+    slots::{Slot, SlotSearch},
     state::DemandEvent,
 };
-use hyper::Response;
-use sequoiawing_catalog::RetryPolicy;
+use bytes::Bytes;
+use hyper::{Response, http::response::Parts};
 use sequoiawing_http::Body;
-use sequoiawing_policy::serving::BalancerRequest;
+use sequoiawing_policy::serving::{BalancerRequest, Hedge, HedgeSettings};
 use sequoiawing_router::{Code, Filter, FilterFuture, Next, Refused};
-use sequoiawing_types::Ran;
+use sequoiawing_types::{Name, Ran};
 use std::{sync::Arc, time::Duration};
 
 /// The number of failed connects after which a request is refused.
@@ -73,12 +74,11 @@
                 "Sending request to an upstream."
             );
             progress.request.tried.push(upstream.clone());
-            let silence_timeout = silence_timeout(exchange, &progress);
-            match send(&self.state, exchange, slot, None, silence_timeout).await {
-                Ok(UpstreamResponse::Stream(parts, body, slot)) => {
+            match self.send(exchange, slot, &mut progress).await {
+                Ok(UpstreamResponse::Stream(parts, source)) => {
                     let exchange = exchange.detach();
-                    let response = (parts, body, slot);
-                    let (request, attempts) = (progress.request, progress.attempts + 1);
+                    let (request, attempts) = (progress.request, progress.attempts);
+                    let response = (parts, source);
                     return Ok(relay(
                         self.state.clone(),
                         exchange,
@@ -88,35 +88,79 @@
                     ));
                 }
                 Ok(UpstreamResponse::Buffered(parts, bytes)) => {
-                    progress.attempts += 1;
-                    let is_server_error = parts.status.is_server_error();
-                    let is_retryable =
-                        is_server_error && exchange.route.repeat == RetryPolicy::Idempotent;
-                    if is_retryable && self.may_retry(exchange, &progress) {
-                        progress.ran = Ran::Yes;
-                        continue;
-                    }
-                    log::info!(
-                        target: "gateway", request = exchange.meta.id.as_str(),
-                        upstream = upstream.as_str(), status = parts.status.as_u16(),
-                        took_ms = exchange.millis_since_arrival(self.state.now());
-                        "Request answered."
-                    );
-                    return Ok(buffered_response(parts, bytes));
+                    return Ok(self.answer(exchange, &upstream, parts, bytes));
                 }
                 Err(failure) => {
                     log::info!(
                         target: "gateway", request = exchange.meta.id.as_str(),
-                        upstream = upstream.as_str(), sent = progress.attempts + 1,
-                        cause = format!("{failure:?}");
+                        upstream = upstream.as_str(), sent = progress.attempts,
+                        cause = failure.to_string();
                         "Attempt failed."
                     );
+                    if let AttemptError::ServerError(parts, bytes) = failure {
+                        if self.may_retry(exchange, &progress) {
+                            progress.ran = Ran::Yes;
+                            continue;
+                        }
+                        return Ok(self.answer(exchange, &upstream, *parts, bytes));
+                    }
                     self.handle_failure(exchange, &mut progress, failure)?;
                 }
             }
         }
     }
 
+    /// Sends a request to an upstream, and to a second one if the first is silent.
+    async fn send(
+        &self,
+        exchange: &GatewayExchange,
+        slot: Slot,
+        progress: &mut Progress,
+    ) -> Result<UpstreamResponse, AttemptError> {
+        let assignment = slot.assignment.clone();
+        let settings = hedge_settings(exchange);
+        let mut hedge = Hedge::new(self.state.now(), settings, progress.attempts + 1);
+        let first = send(&self.state, exchange, slot, None);
+        let race = Race {
+            state: &self.state,
+            exchange,
+            request: &mut progress.request,
+            assignment: &assignment,
+            last_event_id: None,
+            has_begun: false,
+            hedge: &mut hedge,
+        };
+        let result = race.run(first).await;
+        progress.attempts = hedge.attempts();
+        match result {
+            Ok(Winner::First(response) | Winner::Second(response)) => Ok(response),
+            Err(RaceError { first, second }) => match second {
+                Some(error @ AttemptError::ServerError(..)) => Err(error),
+                Some(AttemptError::MayHaveRun(_) | AttemptError::TimedOut) => {
+                    progress.ran = Ran::Unknown;
+                    Err(first)
+                }
+                _ => Err(first),
+            },
+        }
+    }
+
+    fn answer(
+        &self,
+        exchange: &GatewayExchange,
+        upstream: &Name,
+        parts: Parts,
+        bytes: Bytes,
+    ) -> Response<Body> {
+        log::info!(
+            target: "gateway", request = exchange.meta.id.as_str(),
+            upstream = upstream.as_str(), status = parts.status.as_u16(),
+            took_ms = exchange.millis_since_arrival(self.state.now());
+            "Request answered."
+        );
+        buffered_response(parts, bytes)
+    }
+
     /// Returns `Ok` if a failed request may be retried, or else its refusal.
     fn handle_failure(
         &self,
@@ -139,7 +183,6 @@
                 ))
             }
             AttemptError::NotRun(kind) => {
-                progress.attempts += 1;
                 if self.may_retry(exchange, progress) {
                     return Ok(());
                 }
@@ -155,7 +198,6 @@
                 ))
             }
             AttemptError::MayHaveRun(cause) => {
-                progress.attempts += 1;
                 progress.ran = Ran::Unknown;
                 if exchange.route.repeat.allows_retry() && self.may_retry(exchange, progress) {
                     return Ok(());
@@ -163,7 +205,7 @@
                 let problem = format!("the upstream failed: {cause}");
                 Err(Refused::new(Code::UpstreamFailed, problem).with_ran(Ran::Unknown))
             }
-            AttemptError::TimedOut => {
+            AttemptError::TimedOut | AttemptError::ServerError(..) => {
                 let problem = "the upstream did not answer in time";
                 Err(Refused::new(Code::TimedOut, problem).with_ran(Ran::Unknown))
             }
@@ -177,12 +219,15 @@
     }
 }
 
-/// Returns how long an upstream may be silent before another is tried; `None`
-/// if the request can't be retried, so that only its deadline applies.
-fn silence_timeout(exchange: &GatewayExchange, progress: &Progress) -> Option<Duration> {
+/// Returns when a request is sent to a second upstream beside a silent one.
+fn hedge_settings(exchange: &GatewayExchange) -> HedgeSettings {
     let route = &exchange.route;
-    let can_retry = route.repeat.allows_retry() && progress.attempts + 1 < route.attempts;
-    can_retry.then(|| (route.target_latency() * SILENCE_TIMEOUT_FACTOR).max(MIN_SILENCE_TIMEOUT))
+    let may_repeat = route.repeat.allows_retry();
+    let silence = route.target_latency() * SILENCE_TIMEOUT_FACTOR;
+    HedgeSettings {
+        silence: silence.max(MIN_SILENCE_TIMEOUT),
+        max_attempts: if may_repeat { route.attempts } else { 1 },
+    }
 }
 
 /// Returns the refusal of a request whose earlier attempts may have run.
--- /dev/null
+++ b/crates/sequoiawing_gateway/src/hedge.rs
@@ -0,0 +1,234 @@
+//! Sends a request to a second upstream while the first one is silent.
+
+use crate::{
+    GatewayExchange, GatewayState,
+    attempt::{AttemptError, UpstreamResponse, send},
+    slots::SlotSearch,
+};
+use futures_lite::FutureExt;
+use sequoiawing_policy::serving::{
+    Assignment, AttemptOutcome, BalancerRequest, Hedge, HedgeAction, HedgeAttempt, HedgeEvent,
+};
+use sequoiawing_runtime::{sleep, timeout};
+use std::{
+    future::{Future, pending},
+    pin::{Pin, pin},
+    sync::Arc,
+};
+
+/// The answer that is used.
+pub(crate) enum Winner<A, B> {
+    First(A),
+    Second(B),
+}
+
+/// The errors of both attempts; of the second one, those of the last that was
+/// started.
+pub(crate) struct RaceError {
+    pub(crate) first: AttemptError,
+    pub(crate) second: Option<AttemptError>,
+}
+
+/// A request that waits for an upstream, and for another one if it is silent.
+pub(crate) struct Race<'a> {
+    pub(crate) state: &'a Arc<GatewayState>,
+    pub(crate) exchange: &'a GatewayExchange,
+    pub(crate) request: &'a mut BalancerRequest,
+    /// The upstream of the first attempt.
+    pub(crate) assignment: &'a Assignment,
+    /// The last event that the caller has received.
+    pub(crate) last_event_id: Option<u64>,
+    /// Whether the upstream has sent a part of its answer.
+    pub(crate) has_begun: bool,
+    pub(crate) hedge: &'a mut Hedge,
+}
+
+enum Step<A, B> {
+    First(Result<A, AttemptError>),
+    Second(Result<B, AttemptError>),
+    Elapsed,
+}
+
+impl Race<'_> {
+    /// Waits for the first answer; the other attempt is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no attempt is left.
+    pub(crate) async fn run<F, A>(self, first: F) -> Result<Winner<A, UpstreamResponse>, RaceError>
+    where
+        F: Future<Output = Result<A, AttemptError>>,
+    {
+        let Self {
+            state,
+            exchange,
+            request,
+            assignment,
+            last_event_id,
+            has_begun,
+            hedge,
+        } = self;
+        let mut first = pin!(first);
+        let mut first_error = None;
+        let mut second = None;
+        let mut second_error = None;
+        let mut is_silent = false;
+        let mut actions = Vec::new();
+        loop {
+            let due = hedge.due();
+            let is_first_open = first_error.is_none();
+            let first_step = async {
+                if is_first_open {
+                    Step::First(first.as_mut().await)
+                } else {
+                    pending().await
+                }
+            };
+            let second_step = async {
+                match &mut second {
+                    Some(second) => Step::Second(Pin::as_mut(second).await),
+                    None => pending().await,
+                }
+            };
+            let elapsed = async {
+                match due {
+                    Some(due) => sleep(due.since(state.now())).await,
+                    None => pending().await,
+                }
+                Step::Elapsed
+            };
+            let step = first_step.or(second_step).or(elapsed).await;
+            let now = state.now();
+            let mut answer = None;
+            let event = match step {
+                Step::First(Ok(first)) => {
+                    answer = Some(Winner::First(first));
+                    HedgeEvent::Answered(HedgeAttempt::First)
+                }
+                Step::Second(Ok(second)) => {
+                    answer = Some(Winner::Second(second));
+                    HedgeEvent::Answered(HedgeAttempt::Second)
+                }
+                Step::First(Err(error)) => {
+                    let event = failed(HedgeAttempt::First, &error);
+                    first_error = Some(error);
+                    event
+                }
+                Step::Second(Err(error)) => {
+                    second = None;
+                    let event = failed(HedgeAttempt::Second, &error);
+                    second_error = Some(error);
+                    event
+                }
+                Step::Elapsed => HedgeEvent::Elapsed,
+            };
+            hedge.handle(now, event, &mut actions);
+            for action in std::mem::take(&mut actions) {
+                match action {
+                    HedgeAction::Search => {
+                        second =
+                            start_second(state, exchange, request, last_event_id).map(Box::pin);
+                        // A pause within an answer alone is no reason to send the
+                        // upstream no other requests.
+                        if !is_silent && (second.is_some() || !has_begun) {
+                            is_silent = true;
+                            state.set_responsive(assignment, false);
+                        }
+                        let event = match &second {
+                            Some(_) => HedgeEvent::Sent,
+                            None => HedgeEvent::NotFound,
+                        };
+                        hedge.handle(now, event, &mut actions);
+                    }
+                    HedgeAction::Use(attempt) => {
+                        if is_silent {
+                            state.set_responsive(assignment, attempt == HedgeAttempt::First);
+                        }
+                        if let Some(answer) = answer.take() {
+                            return Ok(answer);
+                        }
+                    }
+                    HedgeAction::Fail => {
+                        if let Some(first) = first_error.take() {
+                            let second = second_error.take();
+                            return Err(RaceError { first, second });
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn failed(attempt: HedgeAttempt, error: &AttemptError) -> HedgeEvent {
+    HedgeEvent::Failed {
+        attempt,
+        was_sent: !matches!(error, AttemptError::NotSent(_)),
+    }
+}
+
+/// Sends the request to another upstream, if one has a free slot and the retry
+/// budget allows it.
+///
+/// The future ends once the response has begun, with the first event of a
+/// stream.
+fn start_second<'a>(
+    state: &'a Arc<GatewayState>,
+    exchange: &'a GatewayExchange,
+    request: &mut BalancerRequest,
+    last_event_id: Option<u64>,
+) -> Option<impl Future<Output = Result<UpstreamResponse, AttemptError>> + use<'a>> {
+    let slot = SlotSearch::new(state, exchange).try_acquire(request)?;
+    if !state.take_retry(&exchange.pool) {
+        return None;
+    }
+    let upstream = slot.upstream().clone();
+    request.tried.push(upstream.clone());
+    log::info!(
+        target: "gateway", request = exchange.meta.id.as_str(),
+        upstream = upstream.as_str(), behind = last_event_id,
+        waited_ms = exchange.millis_since_arrival(state.now());
+        "Sending request to a second upstream, since the first is silent."
+    );
+    Some(async move {
+        let sent = pin!(send(state, exchange, slot, last_event_id));
+        let response = match sent.await {
+            Ok(response) => wait_for_event(state, exchange, response).await,
+            Err(error) => Err(error),
+        };
+        response.inspect_err(|error| {
+            log::info!(
+                target: "gateway", request = exchange.meta.id.as_str(),
+                upstream = upstream.as_str(), cause = error.to_string();
+                "Second attempt failed."
+            );
+        })
+    })
+}
+
+/// Waits for the first event of a stream.
+async fn wait_for_event(
+    state: &GatewayState,
+    exchange: &GatewayExchange,
+    response: UpstreamResponse,
+) -> Result<UpstreamResponse, AttemptError> {
+    let (parts, mut source) = match response {
+        UpstreamResponse::Stream(parts, source) => (parts, source),
+        UpstreamResponse::Buffered(parts, bytes) if exchange.route.repeat.is_stream() => {
+            return Err(AttemptError::ServerError(Box::new(parts), bytes));
+        }
+        response @ UpstreamResponse::Buffered(..) => return Ok(response),
+    };
+    let remaining = exchange.remaining(state.now());
+    match timeout(remaining, source.stream.read_ahead()).await {
+        Some(Ok(())) => Ok(UpstreamResponse::Stream(parts, source)),
+        Some(Err(cause)) => {
+            source.slot.release(AttemptOutcome::Aborted);
+            Err(AttemptError::MayHaveRun(cause))
+        }
+        None => {
+            source.slot.release(AttemptOutcome::Failed);
+            Err(AttemptError::TimedOut)
+        }
+    }
+}
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -11,10 +11,12 @@
 mod dialect;
 mod exchange;
 mod filters;
+mod hedge;
 mod hub_sync;
 mod relay;
 mod settings;
 mod slots;
+mod source;
 mod state;
 
 pub use daemon::Gateway;
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -3,15 +3,16 @@
 use crate::{
     GatewayExchange, GatewayState,
     attempt::{AttemptError, UpstreamResponse, send},
+    hedge::{Race, Winner},
     slots::{Slot, SlotSearch},
+    source::Source,
 };
 use bytes::Bytes;
 use futures::stream::unfold;
-use http_body_util::BodyExt;
 use hyper::{Response, http::response::Parts};
 use sequoiawing_catalog::RetryPolicy;
-use sequoiawing_http::{Body, BodyError, ClientBody, SseSplitter, from_stream, remove_hop_headers};
-use sequoiawing_policy::serving::{AttemptOutcome, BalancerRequest};
+use sequoiawing_http::{Body, BodyError, SseSplitter, from_stream, remove_hop_headers};
+use sequoiawing_policy::serving::{AttemptOutcome, BalancerRequest, Hedge, HedgeSettings};
 use sequoiawing_runtime::timeout;
 use std::{sync::Arc, time::Duration};
 
@@ -29,20 +30,11 @@
     request: BalancerRequest,
     /// The number of times the request was sent.
     attempts: u32,
-    source: Option<(ClientBody, Slot)>,
+    source: Option<Source>,
     events: SseSplitter,
-    /// Whether no other upstream was available when this one fell silent.
-    has_no_alternative: bool,
     is_finished: bool,
 }
 
-/// The result of reading from the upstream.
-enum ReadResult {
-    Events(Bytes),
-    End,
-    Broken(String),
-}
-
 /// Relays a stream in whole events, and resumes it at another upstream after a
 /// failure if the route allows.
 pub(crate) fn relay(
@@ -50,9 +42,9 @@
     exchange: GatewayExchange,
     request: BalancerRequest,
     attempts: u32,
-    response: (Parts, ClientBody, Slot),
+    response: (Parts, Source),
 ) -> Response<Body> {
-    let (mut parts, body, slot) = response;
+    let (mut parts, source) = response;
     remove_hop_headers(&mut parts.headers);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
     let relay = StreamRelay {
@@ -60,9 +52,8 @@
         exchange: Arc::new(exchange),
         request,
         attempts,
-        source: Some((body, slot)),
+        source: Some(source),
         events: SseSplitter::default(),
-        has_no_alternative: false,
         is_finished: false,
     };
     let stream = unfold(relay, async |mut relay| {
@@ -79,29 +70,18 @@
         }
         loop {
             let remaining = self.exchange.remaining(self.state.now());
-            let silence = self
-                .silence_timeout()
-                .filter(|silence| *silence < remaining);
-            let read = timeout(silence.unwrap_or(remaining), self.read()).await;
-            let next = match read {
-                Some(next) => next,
-                None if silence.is_some() => {
-                    self.replace_silent_upstream().await;
-                    continue;
-                }
+            match timeout(remaining, self.wait()).await {
                 None => {
                     return Some(Err(
                         self.abort(AttemptOutcome::Failed, "the request's deadline has passed")
                     ));
                 }
-            };
-            match next {
-                ReadResult::Events(bytes) => return Some(Ok(bytes)),
-                ReadResult::End => {
+                Some(Ok(Some(events))) => return Some(Ok(events)),
+                Some(Ok(None)) => {
                     self.finish("whole");
                     return None;
                 }
-                ReadResult::Broken(cause) => {
+                Some(Err(cause)) => {
                     if !self.fail_over(&cause).await {
                         return Some(Err(self.abort(AttemptOutcome::Aborted, &cause)));
                     }
@@ -110,11 +90,9 @@
         }
     }
 
-    /// Returns how long the upstream may send nothing; `None` if the stream can't
-    /// be resumed elsewhere.
-    fn silence_timeout(&self) -> Option<Duration> {
+    /// Returns when another upstream is tried beside a silent one.
+    fn hedge_settings(&self) -> HedgeSettings {
         let route = &self.exchange.route;
-        let can_switch = route.repeat == RetryPolicy::Resumable && self.attempts < route.attempts;
         let gap = Duration::from_millis(route.gap) * SILENCE_GAPS;
         let is_first = self.events.count() == 0;
         let limit = if is_first {
@@ -122,68 +100,78 @@
         } else {
             gap
         };
-        (can_switch && !self.has_no_alternative).then(|| limit.max(MIN_SILENCE_TIMEOUT))
-    }
-
-    /// Resumes the stream at another upstream if one has a free slot, since the
-    /// current one is silent.
-    async fn replace_silent_upstream(&mut self) {
-        let mut request = self.request.clone();
-        request.tried.extend(
-            self.source
-                .as_ref()
-                .map(|(_, slot)| slot.upstream().clone()),
-        );
-        let slot = SlotSearch::new(&self.state, &self.exchange).try_acquire(&request);
-        let Some(slot) = slot.filter(|_| self.state.take_retry(&self.exchange.pool)) else {
-            self.has_no_alternative = true;
-            return;
-        };
-        // Closing the connection ends the former run before the next begins.
-        self.drop_source(AttemptOutcome::Unreachable, "the upstream is silent");
-        self.resume_at(slot).await;
+        let is_resumable = route.repeat == RetryPolicy::Resumable;
+        HedgeSettings {
+            silence: limit.max(MIN_SILENCE_TIMEOUT),
+            max_attempts: if is_resumable { route.attempts } else { 1 },
+        }
     }
 
-    /// Reads until at least one complete event has arrived.
-    async fn read(&mut self) -> ReadResult {
-        let Some((body, _)) = &mut self.source else {
-            return ReadResult::Broken("the stream has no upstream".to_owned());
-        };
+    /// Waits for complete events, of another upstream if the current one is
+    /// silent; returns `None` at the end of the stream.
+    async fn wait(&mut self) -> Result<Option<Bytes>, String> {
         loop {
-            match body.frame().await {
-                None if self.events.has_partial() => {
-                    return ReadResult::Broken("the stream ended within an event".to_owned());
+            let settings = self.hedge_settings();
+            let Some(source) = &mut self.source else {
+                return Err("the stream has no upstream".to_owned());
+            };
+            let mut hedge = Hedge::new(self.state.now(), settings, self.attempts);
+            let assignment = source.slot.assignment.clone();
+            let last_event_id = self.events.last_id().or(self.exchange.meta.last_event_id);
+            let (stream, events) = (&mut source.stream, &mut self.events);
+            let first = async {
+                let read = stream.read(events).await;
+                read.map_err(AttemptError::MayHaveRun)
+            };
+            let race = Race {
+                state: &self.state,
+                exchange: &self.exchange,
+                request: &mut self.request,
+                assignment: &assignment,
+                last_event_id,
+                has_begun: true,
+                hedge: &mut hedge,
+            };
+            let result = race.run(first).await;
+            self.attempts = hedge.attempts();
+            match result {
+                Ok(Winner::First(events)) => return Ok(events),
+                Ok(Winner::Second(UpstreamResponse::Stream(_, source))) => {
+                    // Closing the connection ends the former run.
+                    self.drop_source(AttemptOutcome::Cancelled, "the upstream is silent");
+                    self.resume_from(source);
                 }
-                None => return ReadResult::End,
-                Some(Err(error)) => return ReadResult::Broken(error.to_string()),
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    let events = self.events.push(data);
-                    if !events.is_empty() {
-                        return ReadResult::Events(events);
-                    }
+                Ok(Winner::Second(UpstreamResponse::Buffered(parts, _))) => {
+                    return Err(format!("status {}", parts.status));
                 }
+                Err(error) => return Err(error.first.to_string()),
             }
         }
     }
 
     /// Closes the stream of the current upstream and excludes it from retries.
     fn drop_source(&mut self, outcome: AttemptOutcome, cause: &str) {
-        let Some((_, mut slot)) = self.source.take() else {
+        let Some(Source { slot, .. }) = self.source.take() else {
             return;
         };
-        slot.set_outcome(outcome);
-        self.request.tried.push(slot.upstream().clone());
         log::info!(
             target: "gateway", request = self.exchange.meta.id.as_str(),
             upstream = slot.upstream().as_str(), events = self.events.count(), cause = cause;
             "Stream from the upstream was interrupted."
         );
+        slot.release(outcome);
         self.events.discard_partial();
     }
 
+    fn resume_from(&mut self, source: Source) {
+        log::info!(
+            target: "gateway", request = self.exchange.meta.id.as_str(),
+            upstream = source.slot.upstream().as_str(), behind = self.events.last_id();
+            "Stream resumed at another upstream."
+        );
+        self.source = Some(source);
+    }
+
     /// Resumes the stream after its last complete event at another upstream;
     /// returns whether one was found.
     async fn fail_over(&mut self, cause: &str) -> bool {
@@ -214,21 +202,16 @@
         let upstream = slot.upstream().clone();
         self.request.tried.push(upstream.clone());
         let last_event_id = self.events.last_id().or(self.exchange.meta.last_event_id);
-        let cause = match send(&self.state, &self.exchange, slot, last_event_id, None).await {
-            Ok(UpstreamResponse::Stream(_, body, slot)) => {
+        let cause = match send(&self.state, &self.exchange, slot, last_event_id).await {
+            Ok(UpstreamResponse::Stream(_, source)) => {
                 self.attempts += 1;
-                log::info!(
-                    target: "gateway", request = id.as_str(), upstream = upstream.as_str(),
-                    behind = last_event_id;
-                    "Stream resumed at another upstream."
-                );
-                self.source = Some((body, slot));
+                self.resume_from(source);
                 return true;
             }
             Ok(UpstreamResponse::Buffered(parts, _)) => format!("status {}", parts.status),
             Err(failure) => {
                 self.attempts += u32::from(!matches!(failure, AttemptError::NotSent(_)));
-                format!("{failure:?}")
+                failure.to_string()
             }
         };
         log::info!(
@@ -240,8 +223,8 @@
     }
 
     fn abort(&mut self, outcome: AttemptOutcome, cause: &str) -> BodyError {
-        if let Some((_, slot)) = self.source.take() {
-            slot.release(outcome);
+        if let Some(source) = self.source.take() {
+            source.slot.release(outcome);
         }
         self.is_finished = true;
         self.log("broken off", cause);
@@ -249,8 +232,8 @@
     }
 
     fn finish(&mut self, cause: &str) {
-        if let Some((_, slot)) = self.source.take() {
-            slot.release(AttemptOutcome::Succeeded);
+        if let Some(source) = self.source.take() {
+            source.slot.release(AttemptOutcome::Succeeded);
         }
         self.is_finished = true;
         self.log("whole", cause);
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -56,11 +56,6 @@
     pub(crate) fn release(mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
     }
-
-    /// Sets the outcome that is recorded when the slot is released.
-    pub(crate) fn set_outcome(&mut self, outcome: AttemptOutcome) {
-        self.outcome = outcome;
-    }
 }
 
 impl Drop for Slot {
@@ -69,6 +64,22 @@
     }
 }
 
+impl GatewayState {
+    /// Records that the upstream of a waiting request is silent, or that it has
+    /// gone on.
+    pub(crate) fn set_responsive(&self, assignment: &Assignment, is_responsive: bool) {
+        let mut balancer = self.balancer.lock();
+        balancer.set_responsive(self.now(), assignment.key, is_responsive);
+        drop(balancer);
+        if is_responsive {
+            self.upstreams_changed.notify(usize::MAX);
+        } else {
+            self.client.close_idle(assignment.address);
+            self.urgent_report.notify(usize::MAX);
+        }
+    }
+}
+
 /// A search for a slot at an upstream.
 pub(crate) struct SlotSearch<'a> {
     state: &'a Arc<GatewayState>,
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -118,7 +118,7 @@
     clock: Clock,
     index: ArcSwap<CatalogIndex>,
     roster: Mutex<Roster>,
-    balancer: Mutex<Balancer>,
+    pub(crate) balancer: Mutex<Balancer>,
     rates: Mutex<HashMap<Name, SharedTokenBucket>>,
     retries: Mutex<HashMap<Name, RetryWindow>>,
     demand: Mutex<DemandQueue>,
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -289,6 +289,19 @@
         }
     }
 
+    /// Records that an upstream is silent while a request waits for it, or that
+    /// it has gone on.
+    pub fn set_responsive(&mut self, now: Time, key: UpstreamKey, is_responsive: bool) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        if is_responsive {
+            upstream.record_recovery(now);
+        } else if !upstream.is_backing_off(now) {
+            upstream.record_unreachable(now);
+        }
+    }
+
     /// Records the outcome of a request at an upstream.
     pub fn end(&mut self, now: Time, key: UpstreamKey, outcome: AttemptOutcome) {
         let Some(upstream) = self.upstreams.get_mut(key) else {
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -6,6 +6,7 @@
 mod balancer;
 mod engine;
 mod handover;
+mod hedge;
 mod hub_selector;
 mod loader;
 mod prefix_cache;
@@ -18,6 +19,7 @@
 };
 pub use engine::{EngineReply, EngineReport};
 pub use handover::handover_wait;
+pub use hedge::{Hedge, HedgeAction, HedgeAttempt, HedgeEvent, HedgeSettings};
 pub use hub_selector::{HubRole, HubSelector, HubStatus};
 pub use loader::{LoadPlan, LoaderAction, LoaderEvent, LoaderSettings, ModelLoader};
 pub use prefix_cache::{PrefixCache, PromptPart};
--- a/crates/sequoiawing_policy/src/serving/upstream.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream.rs
@@ -102,6 +102,14 @@
         self.unreachable_count = 0;
     }
 
+    /// Records that a silent upstream went on, and ends its backoff.
+    pub(super) fn record_recovery(&mut self, now: Time) {
+        if self.unreachable_count > 0 {
+            self.retry_at = now;
+        }
+        self.record_answer(now);
+    }
+
     /// Returns `true` if the last attempt to reach the upstream failed
     /// recently.
     pub(super) fn was_unreachable(&self, now: Time) -> bool {
--- a/crates/sequoiawing_policy/tests/balancer.rs
+++ b/crates/sequoiawing_policy/tests/balancer.rs
@@ -227,6 +227,30 @@
     assert_ne!(next.name, broken.name);
 }
 
+// Guards against an upstream that stays out of use after a short silence.
+#[test]
+fn silent_upstream_that_went_on_is_chosen_at_once() {
+    let mut balancer = balancer(vec![upstream("a", &["m"])]);
+    let key = send(&mut balancer, Time::ZERO, &request("m")).key;
+    balancer.set_responsive(Time::ZERO, key, false);
+    assert_eq!(balancer.unreachable(Time::ZERO), [Name::from("a")]);
+    let pick = balancer.pick(Time::ZERO, &request("m"));
+    assert_eq!(describe(&pick), "not loaded");
+    balancer.set_responsive(Time::ZERO, key, true);
+    assert_eq!(balancer.unreachable(Time::ZERO), Vec::<Name>::new());
+    send(&mut balancer, Time::ZERO, &request("m"));
+}
+
+#[test]
+fn simultaneous_silence_of_many_requests_counts_once() {
+    let mut balancer = balancer(vec![upstream("a", &["m"])]);
+    let key = send(&mut balancer, Time::ZERO, &request("m")).key;
+    for _ in 0..SLOTS {
+        balancer.set_responsive(Time::ZERO, key, false);
+    }
+    send(&mut balancer, Time::from_millis(250), &request("m"));
+}
+
 macro_rules! contacts {
     ($($name:ident: $ends:expr, after $millis:literal => unreachable $unreachable_count:literal, reached $reached:literal;)*) => {$(
         #[test]
