Take no second answer that ends before its first event

Callers saw a stream end early although the silent upstream went on: the second one closed a well-formed answer without an event, and the gateway took its end for the end of the stream.

Cause: reading ahead of the second answer succeeded at its end, with or without an event.

Evidence: `a_stream_survives_silence_before_it_beside_a_runner_without_an_event` and `a_stream_survives_silence_beside_a_runner_without_an_event` fail without this change in the one run made (an incomplete or empty 200 in place of the stream) and pass with it.

--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -7,6 +7,9 @@
 /// The cause of a stream that ends inside an event.
 const PARTIAL_EVENT: &str = "the stream ended within an event";
 
+/// The cause of a stream that ends before its first event.
+const NO_EVENT: &str = "the stream ended without an event";
+
 /// An event stream of an upstream, and the slot that it holds there.
 pub(crate) struct Source {
     pub(crate) stream: EventStream,
@@ -51,11 +54,11 @@
         }
     }
 
-    /// Reads ahead until the first complete event or the end of the stream.
+    /// Reads ahead until the first complete event.
     ///
     /// # Errors
     ///
-    /// Returns why the stream broke off.
+    /// Returns why the stream broke off, or that it ended without an event.
     pub(crate) async fn read_ahead(&mut self) -> Result<(), String> {
         let mut events = SseSplitter::default();
         while let Some(part) = self.receive().await {
@@ -65,10 +68,12 @@
                 return Ok(());
             }
         }
-        if events.has_partial() {
-            return Err(PARTIAL_EVENT.to_owned());
-        }
-        Ok(())
+        let cause = if events.has_partial() {
+            PARTIAL_EVENT
+        } else {
+            NO_EVENT
+        };
+        Err(cause.to_owned())
     }
 
     async fn receive(&mut self) -> Option<Result<Bytes, BodyError>> {
