Bound the time in which two upstreams work on one stream

Once the second upstream of a silent stream had begun its answer, the first one was kept until the second sent an event, however long that took: two engines could work on one stream for as long as the first event is late.

Evidence: `a_stream_whose_second_runner_has_begun_leaves_the_first` fails without this change, since both runners keep the stream until its deadline.

The second answer is now used 200 ms after its head at the latest.

--- a/crates/sequoiawing_gateway/src/hedge.rs
+++ b/crates/sequoiawing_gateway/src/hedge.rs
@@ -14,8 +14,13 @@
     future::{Future, pending},
     pin::{Pin, pin},
     sync::Arc,
+    time::Duration,
 };
 
+/// How long two upstreams may work on one stream: the second one has begun its
+/// answer, and has sent no event yet.
+const MAX_OVERLAP: Duration = Duration::from_millis(200);
+
 /// The answer that is used.
 pub(crate) enum Winner<A, B> {
     First(A),
@@ -170,8 +175,8 @@
 /// Sends the request to another upstream, if one has a free slot and the retry
 /// budget allows it.
 ///
-/// The future ends once the response has begun, with the first event of a
-/// stream.
+/// The future ends once the response has begun, in general with the first event
+/// of a stream.
 fn start_second<'a>(
     state: &'a Arc<GatewayState>,
     exchange: &'a GatewayExchange,
@@ -193,7 +198,7 @@
     Some(async move {
         let sent = pin!(send(state, exchange, slot, last_event_id));
         let response = match sent.await {
-            Ok(response) => wait_for_event(state, exchange, response).await,
+            Ok(response) => wait_for_event(exchange, response).await,
             Err(error) => Err(error),
         };
         response.inspect_err(|error| {
@@ -206,9 +211,9 @@
     })
 }
 
-/// Waits for the first event of a stream.
+/// Waits for the first event of a stream, for as long as two upstreams may work
+/// on it.
 async fn wait_for_event(
-    state: &GatewayState,
     exchange: &GatewayExchange,
     response: UpstreamResponse,
 ) -> Result<UpstreamResponse, AttemptError> {
@@ -219,16 +224,11 @@
         }
         response @ UpstreamResponse::Buffered(..) => return Ok(response),
     };
-    let remaining = exchange.remaining(state.now());
-    match timeout(remaining, source.stream.read_ahead()).await {
-        Some(Ok(())) => Ok(UpstreamResponse::Stream(parts, source)),
+    match timeout(MAX_OVERLAP, source.stream.read_ahead()).await {
         Some(Err(cause)) => {
             source.slot.release(AttemptOutcome::Aborted);
             Err(AttemptError::MayHaveRun(cause))
         }
-        None => {
-            source.slot.release(AttemptOutcome::Failed);
-            Err(AttemptError::TimedOut)
-        }
+        Some(Ok(())) | None => Ok(UpstreamResponse::Stream(parts, source)),
     }
 }
