Prefer the second upstream if both have sent events

A stream that was resumed at a second upstream, whose first event came in the same instant as one of the first upstream, went on at the first and cancelled the second. Both had then run at once, and the first ran on. The second one is now preferred, so that the former run ends. Found by reading; no test shows it, as both events have to wait in the same poll.

--- a/crates/sequoiawing_gateway/src/hedge.rs
+++ b/crates/sequoiawing_gateway/src/hedge.rs
@@ -97,7 +97,9 @@
                 }
                 Step::Elapsed
             };
-            let step = first_step.or(second_step).or(elapsed).await;
+            // If both have sent something, the second one is used: its run began
+            // last, and a resumed stream must not go on at two upstreams.
+            let step = second_step.or(first_step).or(elapsed).await;
             let now = state.now();
             let mut answer = None;
             let event = match step {
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -149,7 +149,7 @@
         }
     }
 
-    /// Closes the stream of the current upstream and excludes it from retries.
+    /// Closes the stream of the current upstream.
     fn drop_source(&mut self, outcome: AttemptOutcome, cause: &str) {
         let Some(Source { slot, .. }) = self.source.take() else {
             return;
