Replace a silent second upstream by a third one

A request at two silent upstreams was answered 504 at its deadline although a third one was free, where the code before the hedge had gone on to the third; a resumable stream was cut there.

Cause: no search started while a second attempt was open, nor once the first had failed.

After a further silence the next upstream is searched while the first is kept, and takes the place of the second. If the first fails, the second takes its place and is hedged in turn.

--- a/crates/sequoiawing_gateway/src/hedge.rs
+++ b/crates/sequoiawing_gateway/src/hedge.rs
@@ -48,12 +48,64 @@
     pub(crate) hedge: &'a mut Hedge,
 }
 
-enum Step<A, B> {
+type Attempt<'a> =
+    Pin<Box<dyn Future<Output = Result<UpstreamResponse, AttemptError>> + Send + 'a>>;
+
+enum Step<A> {
     First(Result<A, AttemptError>),
-    Second(Result<B, AttemptError>),
+    /// The attempt that took the place of the first one.
+    Promoted(Result<UpstreamResponse, AttemptError>),
+    Second(Result<UpstreamResponse, AttemptError>),
     Elapsed,
 }
 
+/// The attempts beside the first one, and what came of all of them.
+struct Attempts<'a, A> {
+    promoted: Option<Attempt<'a>>,
+    second: Option<Attempt<'a>>,
+    answer: Option<Winner<A, UpstreamResponse>>,
+    first_error: Option<AttemptError>,
+    second_error: Option<AttemptError>,
+}
+
+impl<A> Attempts<'_, A> {
+    /// Records the end of an attempt.
+    fn record(&mut self, step: Step<A>) -> HedgeEvent {
+        match step {
+            Step::First(Ok(first)) => {
+                self.answer = Some(Winner::First(first));
+                HedgeEvent::Answered(HedgeAttempt::First)
+            }
+            Step::Promoted(Ok(response)) => {
+                self.answer = Some(Winner::Second(response));
+                HedgeEvent::Answered(HedgeAttempt::First)
+            }
+            Step::Second(Ok(response)) => {
+                self.answer = Some(Winner::Second(response));
+                HedgeEvent::Answered(HedgeAttempt::Second)
+            }
+            Step::First(Err(error)) => {
+                let event = failed(HedgeAttempt::First, &error);
+                self.first_error = Some(error);
+                event
+            }
+            Step::Promoted(Err(error)) => {
+                self.promoted = None;
+                let event = failed(HedgeAttempt::First, &error);
+                self.second_error = Some(error);
+                event
+            }
+            Step::Second(Err(error)) => {
+                self.second = None;
+                let event = failed(HedgeAttempt::Second, &error);
+                self.second_error = Some(error);
+                event
+            }
+            Step::Elapsed => HedgeEvent::Elapsed,
+        }
+    }
+}
+
 impl Race<'_> {
     /// Waits for the first answer; the other attempt is cancelled.
     ///
@@ -74,24 +126,30 @@
             hedge,
         } = self;
         let mut first = pin!(first);
-        let mut first_error = None;
-        let mut second = None;
-        let mut second_error = None;
+        let mut attempts = Attempts {
+            promoted: None,
+            second: None,
+            answer: None,
+            first_error: None,
+            second_error: None,
+        };
         let mut is_silent = false;
         let mut actions = Vec::new();
         loop {
             let due = hedge.due();
-            let is_first_open = first_error.is_none();
+            let is_first_open = attempts.first_error.is_none();
+            let promoted = &mut attempts.promoted;
             let first_step = async {
-                if is_first_open {
-                    Step::First(first.as_mut().await)
-                } else {
-                    pending().await
+                match promoted {
+                    Some(promoted) => Step::Promoted(promoted.await),
+                    None if is_first_open => Step::First(first.as_mut().await),
+                    None => pending().await,
                 }
             };
+            let second = &mut attempts.second;
             let second_step = async {
-                match &mut second {
-                    Some(second) => Step::Second(Pin::as_mut(second).await),
+                match second {
+                    Some(second) => Step::Second(second.await),
                     None => pending().await,
                 }
             };
@@ -106,58 +164,40 @@
             // last, and a resumed stream must not go on at two upstreams.
             let step = second_step.or(first_step).or(elapsed).await;
             let now = state.now();
-            let mut answer = None;
-            let event = match step {
-                Step::First(Ok(first)) => {
-                    answer = Some(Winner::First(first));
-                    HedgeEvent::Answered(HedgeAttempt::First)
-                }
-                Step::Second(Ok(second)) => {
-                    answer = Some(Winner::Second(second));
-                    HedgeEvent::Answered(HedgeAttempt::Second)
-                }
-                Step::First(Err(error)) => {
-                    let event = failed(HedgeAttempt::First, &error);
-                    first_error = Some(error);
-                    event
-                }
-                Step::Second(Err(error)) => {
-                    second = None;
-                    let event = failed(HedgeAttempt::Second, &error);
-                    second_error = Some(error);
-                    event
-                }
-                Step::Elapsed => HedgeEvent::Elapsed,
-            };
+            let event = attempts.record(step);
             hedge.handle(now, event, &mut actions);
             for action in std::mem::take(&mut actions) {
                 match action {
                     HedgeAction::Search => {
-                        second =
-                            start_second(state, exchange, request, last_event_id).map(Box::pin);
+                        let found = start_second(state, exchange, request, last_event_id);
                         // A pause within an answer alone is no reason to send the
                         // upstream no other requests.
-                        if !is_silent && (second.is_some() || !has_begun) {
+                        if !is_silent && (found.is_some() || !has_begun) {
                             is_silent = true;
                             state.set_responsive(assignment, false);
                         }
-                        let event = match &second {
-                            Some(_) => HedgeEvent::Sent,
+                        let event = match found {
+                            Some(second) => {
+                                attempts.second = Some(Box::pin(second));
+                                HedgeEvent::Sent
+                            }
                             None => HedgeEvent::NotFound,
                         };
                         hedge.handle(now, event, &mut actions);
                     }
-                    HedgeAction::Use(attempt) => {
-                        if is_silent {
-                            state.set_responsive(assignment, attempt == HedgeAttempt::First);
-                        }
-                        if let Some(answer) = answer.take() {
+                    HedgeAction::Promote => attempts.promoted = attempts.second.take(),
+                    HedgeAction::Use(_) => {
+                        if let Some(answer) = attempts.answer.take() {
+                            if is_silent {
+                                let is_first = matches!(answer, Winner::First(_));
+                                state.set_responsive(assignment, is_first);
+                            }
                             return Ok(answer);
                         }
                     }
                     HedgeAction::Fail => {
-                        if let Some(first) = first_error.take() {
-                            let second = second_error.take();
+                        if let Some(first) = attempts.first_error.take() {
+                            let second = attempts.second_error.take();
                             return Err(RaceError { first, second });
                         }
                     }
--- a/crates/sequoiawing_policy/src/serving/hedge.rs
+++ b/crates/sequoiawing_policy/src/serving/hedge.rs
@@ -13,7 +13,7 @@
 /// One of the two attempts of a [`Hedge`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HedgeAttempt {
-    /// The attempt that was waited for from the start.
+    /// The attempt that was waited for from the start, or that took its place.
     First,
     /// The attempt that was started while the first one was silent.
     Second,
@@ -24,7 +24,8 @@
 pub enum HedgeEvent {
     /// The time returned by [`Hedge::due`] has come.
     Elapsed,
-    /// The search found an upstream, and the request is being sent to it.
+    /// The search found an upstream, and the request is being sent to it. A
+    /// second attempt that was open before is cancelled.
     Sent,
     /// The search found no upstream, or the retry budget is used up.
     NotFound,
@@ -47,6 +48,8 @@
     Search,
     /// Use the answer of an attempt and cancel the other attempt.
     Use(HedgeAttempt),
+    /// The first attempt failed, and the second one takes its place.
+    Promote,
     /// No attempt is left.
     Fail,
 }
@@ -56,7 +59,8 @@
 ///
 /// The silent upstream is kept until another one has answered, since a sound
 /// upstream may pause and the other one may refuse the request. At most two
-/// attempts run at the same time.
+/// attempts run at the same time; a second one that is silent as well gives way
+/// to a further one.
 #[derive(Clone, Debug)]
 pub struct Hedge {
     settings: HedgeSettings,
@@ -82,9 +86,7 @@
     /// Returns the time of the next search; `None` if no further attempt may
     /// start.
     pub fn due(&self) -> Option<Time> {
-        let may_search = self.is_first_open
-            && !self.is_second_open
-            && self.attempts < self.settings.max_attempts;
+        let may_search = self.is_first_open && self.attempts < self.settings.max_attempts;
         may_search.then_some(self.search_at)
     }
 
@@ -104,6 +106,7 @@
             HedgeEvent::Sent => {
                 self.attempts += 1;
                 self.is_second_open = true;
+                self.search_at = now + self.settings.silence;
             }
             HedgeEvent::NotFound => self.search_at = now + self.settings.silence,
             HedgeEvent::Answered(attempt) => {
@@ -112,17 +115,21 @@
                 out.push(HedgeAction::Use(attempt));
             }
             HedgeEvent::Failed { attempt, was_sent } => {
+                self.attempts -= u32::from(!was_sent);
                 match attempt {
-                    HedgeAttempt::First => self.is_first_open = false,
+                    HedgeAttempt::First if self.is_second_open => {
+                        self.is_second_open = false;
+                        out.push(HedgeAction::Promote);
+                    }
+                    HedgeAttempt::First => {
+                        self.is_first_open = false;
+                        out.push(HedgeAction::Fail);
+                    }
                     HedgeAttempt::Second => {
                         self.is_second_open = false;
                         self.search_at = now + self.settings.silence;
                     }
                 }
-                self.attempts -= u32::from(!was_sent);
-                if !self.is_first_open && !self.is_second_open {
-                    out.push(HedgeAction::Fail);
-                }
             }
         }
     }
