Hedge the resumption of a broken stream

A stream that broke off and was resumed at a silent upstream waited there until its deadline, and was cut, although another upstream was free.

Cause: the wait for the head of a resumed stream was a plain one; the wait for a first head and for events was hedged.

A stream whose upstream broke off while a second attempt ran is now also recorded as broken off, not as silent.

--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -119,8 +119,12 @@
             let assignment = source.slot.assignment.clone();
             let last_event_id = self.events.last_id().or(self.exchange.meta.last_event_id);
             let (stream, events) = (&mut source.stream, &mut self.events);
+            let mut broken = None;
             let first = async {
                 let read = stream.read(events).await;
+                if let Err(cause) = &read {
+                    broken = Some(cause.clone());
+                }
                 read.map_err(AttemptError::MayHaveRun)
             };
             let race = Race {
@@ -138,7 +142,12 @@
                 Ok(Winner::First(events)) => return Ok(events),
                 Ok(Winner::Second(UpstreamResponse::Stream(_, source))) => {
                     // Closing the connection ends the former run.
-                    self.drop_source(AttemptOutcome::Cancelled, "the upstream is silent");
+                    match broken {
+                        Some(cause) => self.drop_source(AttemptOutcome::Aborted, &cause),
+                        None => {
+                            self.drop_source(AttemptOutcome::Cancelled, "the upstream is silent");
+                        }
+                    }
                     self.resume_from(source);
                 }
                 Ok(Winner::Second(UpstreamResponse::Buffered(parts, _))) => {
@@ -202,17 +211,30 @@
         let upstream = slot.upstream().clone();
         self.request.tried.push(upstream.clone());
         let last_event_id = self.events.last_id().or(self.exchange.meta.last_event_id);
-        let cause = match send(&self.state, &self.exchange, slot, last_event_id).await {
-            Ok(UpstreamResponse::Stream(_, source)) => {
-                self.attempts += 1;
-                self.resume_from(source);
-                return true;
-            }
-            Ok(UpstreamResponse::Buffered(parts, _)) => format!("status {}", parts.status),
-            Err(failure) => {
-                self.attempts += u32::from(!matches!(failure, AttemptError::NotSent(_)));
-                failure.to_string()
-            }
+        let assignment = slot.assignment.clone();
+        let settings = self.hedge_settings();
+        let mut hedge = Hedge::new(self.state.now(), settings, self.attempts + 1);
+        let first = send(&self.state, &self.exchange, slot, last_event_id);
+        let race = Race {
+            state: &self.state,
+            exchange: &self.exchange,
+            request: &mut self.request,
+            assignment: &assignment,
+            last_event_id,
+            has_begun: false,
+            hedge: &mut hedge,
+        };
+        let result = race.run(first).await;
+        self.attempts = hedge.attempts();
+        let cause = match result {
+            Ok(Winner::First(response) | Winner::Second(response)) => match response {
+                UpstreamResponse::Stream(_, source) => {
+                    self.resume_from(source);
+                    return true;
+                }
+                UpstreamResponse::Buffered(parts, _) => format!("status {}", parts.status),
+            },
+            Err(error) => error.first.to_string(),
         };
         log::info!(
             target: "gateway", request = id.as_str(), upstream = upstream.as_str(),
