Count an answer that has begun as contact with its upstream

One request that waited for a silent upstream made it unreachable for other hosts for up to four seconds, although it had begun to answer others since: only the end of an answer counted as contact. With two such gateways the loader leaves that engine's models out and loads copies elsewhere.

`upstream_that_begins_an_answer_is_reached` failed before and passes now.

--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -282,10 +282,11 @@
         PickResult::Assigned(assignment)
     }
 
-    /// Applies the load reported with an answer.
+    /// Applies the load reported with an answer, which has begun.
     pub fn report(&mut self, now: Time, key: UpstreamKey, load: ReportedLoad) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.report(now, load);
+            upstream.record_answer(now);
         }
     }
 
