Do not count a router's own pause as silence of its upstreams

Callers got 503 `no_upstream` for calls that live upstreams could have run, after the router itself had not run for a while.

Cause: the registry compared the expiry of each announcement with the clock when its timer fired. A router that was suspended, or had no CPU time, for about a lifetime removed all upstreams in its first tick, while their announcements waited in its sockets. A call that may not wait for a load is refused at once when the pool is empty.

Change: the timer reports by how much it fired late (`Pauses`), and the registry extends all lifetimes by that time, at most to what a message that arrives now would get. An upstream that is silent while the router runs expires as before. A dead one stays known for the rest of its lifetime after the pause; calls to it fail to connect and are retried.

--- a/crates/sequoiawing_fleet/src/registry.rs
+++ b/crates/sequoiawing_fleet/src/registry.rs
@@ -234,6 +234,19 @@
         self.remote.summary(centre)
     }
 
+    /// Extends the lifetimes of all announcements and summaries by a time in which
+    /// this router did not run, so that messages which arrived meanwhile are
+    /// processed before their senders count as silent.
+    ///
+    /// No lifetime is extended beyond that of a message that arrives now.
+    pub fn extend(&mut self, now: Time, pause: Duration) {
+        for entry in self.entries.values_mut() {
+            let latest = now + lifetime(entry.state.lifetime);
+            entry.expiry = (entry.expiry + pause).min(latest);
+        }
+        self.remote.extend(now, pause);
+    }
+
     /// Removes the upstreams whose announcement has expired and those of data
     /// centres that have become unreachable; returns their last states.
     pub fn expire(&mut self, now: Time) -> Vec<Arc<UpstreamState>> {
--- a/crates/sequoiawing_fleet/src/remote_centres.rs
+++ b/crates/sequoiawing_fleet/src/remote_centres.rs
@@ -106,6 +106,13 @@
         Some(Summary::full(centre, remote.rank, remote.serial, states))
     }
 
+    /// Extends the time for which all data centres count as reachable.
+    pub(crate) fn extend(&mut self, now: Time, pause: Duration) {
+        for remote in self.centres.values_mut() {
+            remote.last_heard = (remote.last_heard + pause).min(now);
+        }
+    }
+
     /// Removes the data centres that have become unreachable and returns their
     /// upstreams.
     pub(crate) fn expire(&mut self, now: Time) -> Vec<Arc<UpstreamState>> {
--- a/crates/sequoiawing_fleet/tests/registry.rs
+++ b/crates/sequoiawing_fleet/tests/registry.rs
@@ -1,6 +1,6 @@
 //! Tests of what a registry keeps about upstreams.
 
-use sequoiawing_fleet::{Publisher, Rank, Registry, Renewal, UpdateOutcome, UpstreamState};
+use sequoiawing_fleet::{Pauses, Publisher, Rank, Registry, Renewal, UpdateOutcome, UpstreamState};
 use sequoiawing_types::{Name, Time};
 use std::time::Duration;
 
@@ -132,3 +132,87 @@
     let gone = ["runner-0", "runner-1"].map(|name| (name.to_owned(), false));
     assert_eq!(names(&mut registry), gone);
 }
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// A router whose timer expires upstreams.
+struct Ticking {
+    registry: Registry,
+    pauses: Pauses,
+    now: Time,
+}
+
+impl Ticking {
+    /// Returns a registry with an upstream of its data centre and one of another.
+    fn new() -> Self {
+        let mut registry = Registry::default();
+        registry.announce(Time::ZERO, state(0, &[]));
+        let mut publisher = Publisher::new(Name::from("north"));
+        let remote = [state(1, &[])];
+        registry.apply_summary(
+            Time::ZERO,
+            &publisher.publish(Rank { term: 1, start: 1 }, remote.iter()),
+        );
+        Self {
+            registry,
+            pauses: Pauses::new(Time::ZERO, TICK),
+            now: Time::ZERO,
+        }
+    }
+
+    /// Fires the timer after a time and returns the upstreams that expired.
+    fn tick_after(&mut self, elapsed: Duration) -> Vec<Name> {
+        self.now = self.now + elapsed;
+        let pause = self.pauses.tick(self.now);
+        self.registry.extend(self.now, pause);
+        let expired = self.registry.expire(self.now).into_iter();
+        expired.map(|s| s.name.clone()).collect()
+    }
+
+    /// Fires the timer without delay and returns when the first upstream expires.
+    fn time_to_expiry(&mut self) -> Duration {
+        let from = self.now;
+        while self.tick_after(TICK).is_empty() {
+            assert!(!self.registry.is_empty(), "the upstreams are gone already");
+        }
+        self.now.since(from)
+    }
+}
+
+/// Guards against a router that removed every upstream after it had not run for
+/// longer than a lifetime, while their announcements waited in its sockets.
+#[test]
+fn a_pause_of_the_router_itself_expires_no_upstream() {
+    let mut router = Ticking::new();
+    router.tick_after(TICK);
+    assert_eq!(router.tick_after(Duration::from_hours(1)), []);
+    assert_eq!(router.registry.len(), 2);
+}
+
+#[test]
+fn an_upstream_silent_after_a_pause_expires_at_the_end_of_its_remaining_lifetime() {
+    let mut router = Ticking::new();
+    for _ in 0..8 {
+        router.tick_after(TICK);
+    }
+    router.tick_after(Duration::from_hours(1));
+    let remaining = Duration::from_millis(550);
+    assert_eq!(router.time_to_expiry(), remaining);
+}
+
+#[test]
+fn a_pause_does_not_extend_what_was_announced_after_it() {
+    let mut router = Ticking::new();
+    let resumed = Time::ZERO + Duration::from_hours(1);
+    let mut renewed = state(0, &[]);
+    renewed.sequence = 2;
+    router.registry.announce(resumed, renewed);
+    router.tick_after(Duration::from_hours(1));
+    assert_eq!(router.time_to_expiry(), Duration::from_secs(1));
+}
+
+#[test]
+fn an_upstream_that_is_silent_while_the_router_runs_expires() {
+    let mut router = Ticking::new();
+    assert_eq!(router.time_to_expiry(), Duration::from_secs(1));
+}
--- a/crates/sequoiawing_router/src/controllers/expire.rs
+++ b/crates/sequoiawing_router/src/controllers/expire.rs
@@ -1,4 +1,5 @@
 use crate::{Controller, RouterState};
+use sequoiawing_fleet::Pauses;
 use sequoiawing_runtime::{Shutdown, sleep};
 use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
 
@@ -25,8 +26,10 @@
 
     fn run(self: Box<Self>, shutdown: Shutdown) -> Pin<Box<dyn Future<Output = ()> + Send>> {
         Box::pin(async move {
+            let mut pauses = Pauses::new(self.state.now(), INTERVAL);
             while shutdown.or(sleep(INTERVAL)).await.is_some() {
-                self.state.expire_upstreams();
+                let now = self.state.now();
+                self.state.expire_upstreams(now, pauses.tick(now));
             }
         })
     }
--- a/crates/sequoiawing_router/src/state.rs
+++ b/crates/sequoiawing_router/src/state.rs
@@ -276,8 +276,15 @@
 
     /// Removes the upstreams whose announcements have expired, and drives the timers
     /// of the dispatchers.
-    pub(crate) fn expire_upstreams(&self) {
-        let expired = self.registry.lock().expire(self.now());
+    ///
+    /// `pause` is the time before `now` in which this router did not run. It does not
+    /// count as silence of the upstreams.
+    pub(crate) fn expire_upstreams(&self, now: Time, pause: Duration) {
+        let expired = {
+            let mut registry = self.registry.lock();
+            registry.extend(now, pause);
+            registry.expire(now)
+        };
         for state in expired {
             let upstream = &state.name;
             log::warn!(
