Name prompt parts and the upstream's start where an attempt breaks off

An engine that ends breaks the streams of all requests that it runs. The lines on these named the upstream only, so that neither the parts that the requests shared nor the upstream's start could be found, and no line says which of them ran at the end.

--- a/crates/sequoiawing_gateway/src/dialect.rs
+++ b/crates/sequoiawing_gateway/src/dialect.rs
@@ -33,6 +33,18 @@
         self.tokens
             .map(|(prompt, completion)| prompt.saturating_add(completion))
     }
+
+    /// Returns the parts that other prompts may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Returns the IDs of the shared parts for logs.
+    pub(crate) fn shared_ids(&self) -> String {
+        let ids = self.shared_parts().iter();
+        let ids: Vec<String> = ids.map(|p| format!("{:x}", p.id)).collect();
+        ids.join(",")
+    }
 }
 
 /// An attempt to send a request to an upstream.
--- a/crates/sequoiawing_gateway/src/filters/forward.rs
+++ b/crates/sequoiawing_gateway/src/filters/forward.rs
@@ -63,6 +63,7 @@
                 .await;
             let slot = slot.map_err(|refused| final_refusal(refused, progress.ran))?;
             let upstream = slot.upstream().clone();
+            let epoch = slot.assignment.epoch;
             log::info!(
                 target: "gateway", request = exchange.meta.id.as_str(),
                 route = exchange.route.name.as_str(), version = exchange.index.version(),
@@ -107,7 +108,8 @@
                 Err(failure) => {
                     log::info!(
                         target: "gateway", request = exchange.meta.id.as_str(),
-                        upstream = upstream.as_str(), sent = progress.attempts + 1,
+                        upstream = upstream.as_str(), start = epoch,
+                        parts = exchange.meta.shared_ids(), sent = progress.attempts + 1,
                         cause = format!("{failure:?}");
                         "Attempt failed."
                     );
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -178,7 +178,9 @@
         self.request.tried.push(slot.upstream().clone());
         log::info!(
             target: "gateway", request = self.exchange.meta.id.as_str(),
-            upstream = slot.upstream().as_str(), events = self.events.count(), cause = cause;
+            upstream = slot.upstream().as_str(), start = slot.assignment.epoch,
+            parts = self.exchange.meta.shared_ids(), events = self.events.count(),
+            ran_ms = slot.millis_since_assigned(), cause = cause;
             "Stream from the upstream was interrupted."
         );
         self.events.discard_partial();
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -38,6 +38,8 @@
 pub(crate) struct Slot {
     state: Arc<GatewayState>,
     pub(crate) assignment: Assignment,
+    /// When the slot was assigned, just before the request is sent.
+    pub(crate) assigned: Time,
     outcome: AttemptOutcome,
 }
 
@@ -47,6 +49,12 @@
         &self.assignment.name
     }
 
+    /// Returns the milliseconds since the slot was assigned.
+    pub(crate) fn millis_since_assigned(&self) -> u64 {
+        let elapsed = self.state.now().since(self.assigned);
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Records the load that the upstream reported.
     pub(crate) fn report_load(&self, load: ReportedLoad) {
         self.state.report_load(&self.assignment, load);
@@ -99,6 +107,7 @@
         Slot {
             state: self.state.clone(),
             assignment,
+            assigned: self.state.now(),
             outcome: AttemptOutcome::Cancelled,
         }
     }
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -52,6 +52,8 @@
     pub name: Name,
     /// The address to which the request is sent.
     pub address: SocketAddr,
+    /// The epoch of the upstream.
+    pub epoch: u64,
     /// The estimated number of requests at the upstream before this one.
     pub load: u32,
     /// The estimated number of prompt tokens that are not cached at the
@@ -274,6 +276,7 @@
             key,
             name: upstream.state.name.clone(),
             address,
+            epoch: upstream.state.epoch,
             load: upstream.load(now),
             uncached: upstream.prefixes.uncached(&request.parts),
         };
