Add state machines that quarantine prompt parts which crash engines

One part of a prompt can crash every engine that begins to answer on it. Hubs detect such parts from crash evidence and completed answers, gateways refuse requests with them.

--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -9,6 +9,7 @@
 mod hub_selector;
 mod loader;
 mod prefix_cache;
+mod quarantine;
 mod retry_window;
 mod shared_bucket;
 mod upstream;
@@ -21,6 +22,10 @@
 pub use hub_selector::{HubRole, HubSelector, HubStatus};
 pub use loader::{LoadPlan, LoaderAction, LoaderEvent, LoaderSettings, ModelLoader};
 pub use prefix_cache::{PrefixCache, PromptPart};
+pub use quarantine::{
+    CrashedAnswer, PoisonDetector, Quarantine, QuarantineDecision, QuarantineSettings,
+    QuarantinedPart, RecentSuccesses,
+};
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use shared_bucket::{PeerView, SharedTokenBucket};
 pub use upstream::ReportedLoad;
--- /dev/null
+++ b/crates/sequoiawing_policy/src/serving/quarantine/detector.rs
@@ -0,0 +1,267 @@
+use super::{
+    CrashedAnswer, QuarantineDecision, QuarantineSettings, QuarantinedPart,
+    evidence::{CrashKey, Evidence},
+    table::QuarantineTable,
+};
+use lru::LruCache;
+use sequoiawing_types::Time;
+use std::{cmp::Reverse, num::NonZeroUsize};
+
+/// The number of parts whose successes gateways are asked for. Those with the
+/// fewest crashes are left out.
+const MAX_SUSPECTS: usize = 512;
+
+/// The number of parts whose last success a hub knows. Those used least
+/// recently are dropped first.
+const MAX_SUCCESSES: NonZeroUsize = NonZeroUsize::new(8_192).expect("the capacity is not zero");
+
+/// Crashes of a part in a row, with no completed answer since the first.
+struct Chain {
+    part: u64,
+    crashes: Vec<CrashKey>,
+    has_succeeded: bool,
+}
+
+/// Decides on a hub which prompt parts crash the engines that answer on them.
+///
+/// A part is quarantined after several crashes in a row that it took part in. A
+/// crash counts only if the request was sent after the previous one that counts,
+/// so that engines that are lost together count once, and a completed answer
+/// starts the count anew. Crashes in which a quarantined part took part do not
+/// count against other parts. See
+/// [docs/design/quarantine.md](../../../../../docs/design/quarantine.md).
+#[derive(Debug)]
+pub struct PoisonDetector {
+    settings: QuarantineSettings,
+    evidence: Evidence,
+    successes: LruCache<u64, Time>,
+    table: QuarantineTable,
+    suspects: Vec<u64>,
+    has_changed: bool,
+    /// When the next decision is due if nothing changes before.
+    due: Option<Time>,
+}
+
+impl PoisonDetector {
+    /// Creates a detector without evidence.
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            settings,
+            evidence: Evidence::default(),
+            successes: LruCache::new(MAX_SUCCESSES),
+            table: QuarantineTable::default(),
+            suspects: Vec::new(),
+            has_changed: false,
+            due: None,
+        }
+    }
+
+    /// Records an answer that had begun when its upstream crashed. Repeated
+    /// reports of the same answer change nothing.
+    pub fn record_crash(&mut self, now: Time, answer: &CrashedAnswer) {
+        if answer.broken + self.settings.retention > now {
+            self.has_changed |= self.evidence.record(now, answer);
+        }
+    }
+
+    /// Records that an answer on a part was completed at `at`.
+    pub fn record_success(&mut self, now: Time, part: u64, at: Time) {
+        let at = at.min(now);
+        let last = self.successes.get_or_insert_mut(part, || Time::ZERO);
+        if *last < at {
+            *last = at;
+            self.has_changed = true;
+        }
+    }
+
+    /// Learns a quarantined part from a gateway or another hub.
+    pub fn learn(&mut self, now: Time, part: &QuarantinedPart) {
+        self.has_changed |= self.table.merge(now, *part);
+    }
+
+    /// Decides which parts are quarantined or released, and returns those newly
+    /// quarantined.
+    pub fn advance(&mut self, now: Time) -> Vec<QuarantineDecision> {
+        self.has_changed |= self.evidence.expire(now, self.settings.retention);
+        self.has_changed |= self.table.expire(now, self.settings.probation);
+        let mut decisions = Vec::new();
+        if !self.has_changed && self.due.is_none_or(|due| now < due) {
+            return decisions;
+        }
+        self.has_changed = false;
+        self.due = None;
+        self.review_probation(now, &mut decisions);
+        self.explain_crashes(|entry| !entry.released);
+        let mut chains = self.chains();
+        while let Some(first) = self.find_due(now, &chains) {
+            // Parts with the same crashes cannot be told apart.
+            let is_same =
+                |c: &&Chain| c.crashes == first.crashes && c.has_succeeded == first.has_succeeded;
+            let same: Vec<_> = chains.iter().filter(is_same).collect();
+            let before = decisions.len();
+            for chain in same {
+                decisions.extend(self.quarantine(now, chain.part, &chain.crashes));
+            }
+            if decisions.len() == before {
+                break;
+            }
+            self.explain_crashes(|entry| !entry.released);
+            chains = self.chains();
+        }
+        self.schedule(now, &chains);
+        self.list_suspects(now, &chains);
+        decisions
+    }
+
+    /// Returns the parts whose successes gateways should report, as of the last
+    /// call of [`advance`](Self::advance).
+    pub fn suspects(&self) -> &[u64] {
+        &self.suspects
+    }
+
+    /// Returns the parts that are or were quarantined, for gateways and other
+    /// hubs.
+    pub fn quarantined(&self) -> Vec<QuarantinedPart> {
+        self.table.iter().copied().collect()
+    }
+
+    /// Returns when [`advance`](Self::advance) has to be called next.
+    pub fn next_deadline(&self, now: Time) -> Option<Time> {
+        if self.has_changed {
+            Some(now)
+        } else {
+            self.due
+        }
+    }
+
+    /// Releases parts on probation on which an answer was completed, and
+    /// quarantines those again whose requests crashed an upstream.
+    fn review_probation(&mut self, now: Time, decisions: &mut Vec<QuarantineDecision>) {
+        self.explain_crashes(|entry| entry.is_live(now));
+        let entries = self.table.iter().copied();
+        let entries: Vec<_> = entries.filter(|e| e.is_on_probation(now)).collect();
+        for entry in entries {
+            let success = self.successes.peek(&entry.part).copied();
+            if success.is_some_and(|at| at > entry.until) {
+                self.table.release(entry.part);
+                continue;
+            }
+            let crashes = self.evidence.crashes(entry.part);
+            let first = crashes.into_iter().find(|(.., sent)| *sent > entry.until);
+            let Some((key, crash, _)) = first else {
+                continue;
+            };
+            let due = crash.broken + self.settings.settling;
+            if due <= now {
+                decisions.extend(self.quarantine(now, entry.part, &[key]));
+            } else {
+                self.add_due(due);
+            }
+        }
+    }
+
+    fn explain_crashes<F>(&mut self, explains: F)
+    where
+        F: Fn(&QuarantinedPart) -> bool,
+    {
+        self.evidence.clear_explanations();
+        for entry in self.table.iter().filter(|e| explains(e)) {
+            self.evidence.explain(entry.part);
+        }
+    }
+
+    /// Returns the chains of all parts that are not quarantined.
+    fn chains(&self) -> Vec<Chain> {
+        let chains = self.evidence.parts().map(|part| self.chain(part));
+        chains.filter(|chain| !chain.crashes.is_empty()).collect()
+    }
+
+    fn chain(&self, part: u64) -> Chain {
+        let success = self.successes.peek(&part).copied();
+        let mut crashes = Vec::new();
+        let mut previous = None;
+        for (key, crash, sent) in self.evidence.crashes(part) {
+            let is_cleared = success.is_some_and(|at| crash.broken <= at);
+            if !is_cleared && previous.is_none_or(|broken| sent > broken) {
+                previous = Some(crash.broken);
+                crashes.push(key);
+            }
+        }
+        Chain {
+            part,
+            crashes,
+            has_succeeded: success.is_some(),
+        }
+    }
+
+    /// Returns when a chain leads to a quarantine if nothing changes before.
+    fn chain_due(&self, chain: &Chain) -> Option<Time> {
+        let last = chain.crashes.get(self.settings.crashes.checked_sub(1)?)?;
+        let settled = self.evidence.crash(*last).broken + self.settings.settling;
+        let first = self.evidence.crash(chain.crashes[0]);
+        Some(settled.max(first.learned + self.settings.hearing))
+    }
+
+    /// Returns the chain that is due and explains most: the longest, of a part
+    /// that never succeeded if there is one.
+    fn find_due<'a>(&self, now: Time, chains: &'a [Chain]) -> Option<&'a Chain> {
+        let is_due = |c: &&Chain| self.chain_due(c).is_some_and(|due| due <= now);
+        let rank = |c: &&Chain| (Reverse(c.crashes.len()), c.has_succeeded, c.part);
+        chains.iter().filter(is_due).min_by_key(rank)
+    }
+
+    /// Quarantines a part unless the table is full of quarantined parts.
+    fn quarantine(
+        &mut self,
+        now: Time,
+        part: u64,
+        crashes: &[CrashKey],
+    ) -> Option<QuarantineDecision> {
+        let term = self.table.get(part).map_or(1, |e| e.term.saturating_add(1));
+        let factor = 1_u32.checked_shl(term - 1).unwrap_or(u32::MAX);
+        let duration = self.settings.duration.saturating_mul(factor);
+        let until = now + duration.min(self.settings.max_duration);
+        let entry = QuarantinedPart {
+            part,
+            term,
+            until,
+            released: false,
+        };
+        let upstream = |key: &CrashKey| self.evidence.crash(*key).upstream.clone();
+        self.table.insert(now, entry).then(|| QuarantineDecision {
+            part,
+            term,
+            until,
+            crashes: crashes.len(),
+            upstreams: crashes.iter().map(upstream).collect(),
+        })
+    }
+
+    fn schedule(&mut self, now: Time, chains: &[Chain]) {
+        for chain in chains {
+            if let Some(due) = self.chain_due(chain) {
+                // A due chain that is left found the table full.
+                let retry = now + self.settings.settling;
+                self.add_due(if due <= now { retry } else { due });
+            }
+        }
+        let ends = self.table.iter().map(|e| e.until).filter(|end| now < *end);
+        if let Some(end) = ends.min() {
+            self.add_due(end);
+        }
+    }
+
+    fn add_due(&mut self, due: Time) {
+        self.due = Some(self.due.map_or(due, |d| d.min(due)));
+    }
+
+    fn list_suspects(&mut self, now: Time, chains: &[Chain]) {
+        let probation = self.table.iter().filter(|e| e.is_on_probation(now));
+        self.suspects = probation.map(|e| e.part).collect();
+        let mut ranked: Vec<_> = chains.iter().collect();
+        ranked.sort_by_key(|c| (Reverse(c.crashes.len()), c.part));
+        let room = MAX_SUSPECTS.saturating_sub(self.suspects.len());
+        let chosen = ranked.into_iter().take(room).map(|c| c.part);
+        self.suspects.extend(chosen);
+    }
+}
