Quarantine prompt parts that crash upstreams

Cause: no host related the end of an engine to what it ran. A gateway saw broken streams, a hub an upstream out of reach, and the next request with the part went to the next engine that held its model.

Gateways now report answers that broke off at an upstream which no longer accepts connections, with the parts that other prompts may share, and the last complete answers on the parts that hubs suspect. Every hub collects the reports of all gateways, direct or mirrored, and decides for itself, so that no leader is needed. Gateways refuse requests with a quarantined part on arrival and before each send, and report the parts they know, so that hubs that start anew learn them.

The parts of the gateway's state that mirror hubs move to a file of their own.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::{Attempt, GatewayExchange, GatewayState, ResponseKind, slots::Slot};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{Request, Response, Uri, http::response::Parts};
 use sequoiawing_catalog::RetryPolicy;
 use sequoiawing_http::{Body, ClientBody, ClientError, empty, from_bytes};
@@ -143,8 +143,18 @@
         return Ok(Received::Stream(parts, body));
     }
     match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
-        Ok(body) => Ok(Received::Buffered(parts, body.to_bytes())),
-        Err(error) => Err(AttemptError::MayHaveRun(error.to_string())),
+        Ok(body) => {
+            if parts.status.is_success() {
+                state.record_part_success(&exchange.meta);
+            }
+            Ok(Received::Buffered(parts, body.to_bytes()))
+        }
+        Err(error) => {
+            if !error.is::<LengthLimitError>() {
+                state.record_broken_answer(&exchange.meta, slot);
+            }
+            Err(AttemptError::MayHaveRun(error.to_string()))
+        }
     }
 }
 
--- /dev/null
+++ b/crates/sequoiawing_gateway/src/crash_log.rs
@@ -0,0 +1,125 @@
+use sequoiawing_link::{CrashReport, CrashedPart};
+use sequoiawing_policy::serving::PromptPart;
+use sequoiawing_types::{Name, Time};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashMap, VecDeque},
+    time::Duration,
+};
+
+/// How long a crash is reported, so that hubs that start meanwhile learn of it.
+const RETENTION: Duration = Duration::from_secs(30);
+
+/// The number of crashes in a report, which bounds its size.
+const MAX_CRASHES: usize = 8;
+
+/// The number of parts of one crash in a report.
+const MAX_PARTS: usize = 48;
+
+/// One incarnation of an upstream: its name and epoch.
+pub(crate) type Incarnation = (Name, u64);
+
+/// Answers that broke off at one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct BrokenAnswers {
+    /// When the first of them broke off.
+    pub(crate) broken: Time,
+    pub(crate) count: usize,
+    /// When the last request with each shared part was sent.
+    pub(crate) parts: BTreeMap<u64, Time>,
+}
+
+#[derive(Debug)]
+struct Crash {
+    number: u64,
+    incarnation: Incarnation,
+    answers: BrokenAnswers,
+}
+
+/// The recent crashes of upstreams, as evidence for hubs.
+#[derive(Debug, Default)]
+pub(crate) struct CrashLog {
+    /// The answers of upstreams that are being checked.
+    pending: HashMap<Incarnation, BrokenAnswers>,
+    crashes: VecDeque<Crash>,
+    last_number: u64,
+}
+
+impl CrashLog {
+    /// Adds an answer that broke off; returns whether it is the first at that
+    /// upstream since its last check.
+    pub(crate) fn add(
+        &mut self,
+        now: Time,
+        incarnation: &Incarnation,
+        sent: Time,
+        shared: &[PromptPart],
+    ) -> bool {
+        let is_first = !self.pending.contains_key(incarnation);
+        let answers = self.pending.entry(incarnation.clone());
+        let answers = answers.or_insert_with(|| BrokenAnswers {
+            broken: now,
+            count: 0,
+            parts: BTreeMap::new(),
+        });
+        answers.count += 1;
+        for part in shared {
+            let last = answers.parts.entry(part.id).or_insert(sent);
+            *last = sent.max(*last);
+        }
+        is_first
+    }
+
+    /// Removes and returns the answers of an upstream that has been checked.
+    pub(crate) fn take(&mut self, incarnation: &Incarnation) -> Option<BrokenAnswers> {
+        self.pending.remove(incarnation)
+    }
+
+    /// Adds the crash of an upstream.
+    pub(crate) fn record(&mut self, incarnation: Incarnation, answers: BrokenAnswers) {
+        let mut answers = answers;
+        if answers.parts.len() > MAX_PARTS {
+            let mut parts: Vec<_> = answers.parts.into_iter().collect();
+            parts.sort_by_key(|(_, sent)| Reverse(*sent));
+            answers.parts = parts.into_iter().take(MAX_PARTS).collect();
+        }
+        if answers.parts.is_empty() {
+            return;
+        }
+        self.last_number += 1;
+        self.crashes.push_back(Crash {
+            number: self.last_number,
+            incarnation,
+            answers,
+        });
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+    }
+
+    /// Returns the recent crashes for a report.
+    pub(crate) fn reports(&mut self, now: Time) -> Vec<CrashReport> {
+        self.crashes
+            .retain(|c| now.since(c.answers.broken) <= RETENTION);
+        let crashes = self.crashes.iter().map(|c| CrashReport {
+            number: c.number,
+            upstream: c.incarnation.0.clone(),
+            epoch: c.incarnation.1,
+            age: age_millis(now, c.answers.broken),
+            parts: c
+                .answers
+                .parts
+                .iter()
+                .map(|(part, sent)| CrashedPart {
+                    part: *part,
+                    sent_age: age_millis(now, *sent),
+                })
+                .collect(),
+        });
+        crashes.collect()
+    }
+}
+
+pub(crate) fn age_millis(now: Time, at: Time) -> u64 {
+    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/sequoiawing_gateway/src/hub_sync.rs
+++ b/crates/sequoiawing_gateway/src/hub_sync.rs
@@ -172,6 +172,7 @@
             demand,
             unreachable: state.unreachable(),
             reached: state.reached(),
+            quarantine: state.quarantine.report(state.now()),
             seen: sync_position.seen,
             wait: u64::try_from(wait.as_millis()).unwrap_or_default(),
         };
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -7,11 +7,14 @@
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
 mod attempt;
+mod cluster_view;
+mod crash_log;
 mod daemon;
 mod dialect;
 mod exchange;
 mod filters;
 mod hub_sync;
+mod quarantine;
 mod relay;
 mod settings;
 mod slots;
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -128,6 +128,10 @@
     /// Resumes the stream at another upstream if one has a free slot, since the
     /// current one is silent.
     async fn replace_silent_upstream(&mut self) {
+        if !self.may_resume() {
+            self.has_no_alternative = true;
+            return;
+        }
         let mut request = self.request.clone();
         request.tried.extend(
             self.source
@@ -183,6 +187,9 @@
             ran_ms = slot.millis_since_assigned(), cause = cause;
             "Stream from the upstream was interrupted."
         );
+        if outcome == AttemptOutcome::Aborted {
+            self.state.record_broken_answer(&self.exchange.meta, &slot);
+        }
         self.events.discard_partial();
     }
 
@@ -195,6 +202,7 @@
             return false;
         }
         while self.attempts < self.exchange.route.attempts
+            && self.may_resume()
             && self.state.take_retry(&self.exchange.pool)
         {
             let slot = SlotSearch::new(&self.state, &self.exchange)
@@ -203,6 +211,9 @@
             let Ok(slot) = slot else {
                 return false;
             };
+            if !self.may_resume() {
+                return false;
+            }
             if self.resume_at(slot).await {
                 return true;
             }
@@ -210,6 +221,12 @@
         false
     }
 
+    /// Returns whether no prompt part of the request is quarantined.
+    fn may_resume(&self) -> bool {
+        let rechecked = self.state.recheck_parts(&self.exchange.meta, true);
+        rechecked.is_ok()
+    }
+
     /// Resumes the stream at an upstream; returns whether it succeeded.
     async fn resume_at(&mut self, slot: Slot) -> bool {
         let id = self.exchange.meta.id.clone();
@@ -253,6 +270,7 @@
     fn finish(&mut self, cause: &str) {
         if let Some((_, slot)) = self.source.take() {
             slot.release(AttemptOutcome::Succeeded);
+            self.state.record_part_success(&self.exchange.meta);
         }
         self.is_finished = true;
         self.log("whole", cause);
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -1,4 +1,8 @@
-use crate::{Dialect, GatewaySettings};
+use crate::{
+    Dialect, GatewaySettings,
+    cluster_view::{ClusterView, DISCONNECTED_AFTER, HubView},
+    quarantine::QuarantineState,
+};
 use arc_swap::ArcSwap;
 use event_listener::Event;
 use parking_lot::Mutex;
@@ -14,7 +18,7 @@
 use sequoiawing_telemetry::Meters;
 use sequoiawing_types::{Name, Time};
 use std::{
-    collections::{HashMap, HashSet, VecDeque},
+    collections::{HashMap, VecDeque},
     net::{IpAddr, SocketAddr},
     sync::{
         Arc,
@@ -32,10 +36,6 @@
 /// later.
 const LOAD_SLACK: Duration = Duration::from_millis(250);
 
-/// How long all hubs may fail to answer before the gateway counts as
-/// disconnected; several reporting intervals.
-const DISCONNECTED_AFTER: Duration = Duration::from_millis(1_500);
-
 /// The time from a report of a missing model to the leader's order, including
 /// the forwarding of both by hubs.
 const PROPAGATION_TIME: Duration = Duration::from_millis(150);
@@ -48,29 +48,6 @@
 /// outdated.
 const MAX_DEMAND_BATCHES: usize = 16;
 
-/// The state in the last response of one hub.
-#[derive(Debug, Default)]
-struct HubView {
-    last_response: Time,
-    epoch: u64,
-    /// Whether its usage totals include all gateways.
-    is_complete: bool,
-    silent: HashSet<Name>,
-}
-
-/// The state of the other hosts, as reported by hubs.
-#[derive(Debug, Default)]
-struct ClusterView {
-    hubs: HashMap<SocketAddr, HubView>,
-    /// The hub whose usage totals apply, and its epoch.
-    usage_source: Option<(SocketAddr, u64)>,
-    gateways: u32,
-    missing: u32,
-    /// The term of the leader that ordered the loads.
-    term: u64,
-    loads: Vec<(Time, PlannedLoad)>,
-}
-
 /// The demand for models that no hub has acknowledged.
 #[derive(Debug, Default)]
 struct DemandQueue {
@@ -133,6 +110,7 @@
     /// Notified when a report should be sent without delay.
     pub(crate) urgent_report: Event,
     pub(crate) open_requests: AtomicU64,
+    pub(crate) quarantine: QuarantineState,
 }
 
 impl GatewayState {
@@ -164,6 +142,7 @@
             upstreams_changed: Event::new(),
             urgent_report: Event::new(),
             open_requests: AtomicU64::new(0),
+            quarantine: QuarantineState::new(rand::random()),
         }
     }
 
@@ -418,6 +397,8 @@
         reported: &[(Name, u64)],
     ) {
         let now = self.now();
+        // The first configuration makes the gateway ready.
+        self.apply_quarantine(hub, &update.quarantine);
         if let Some(catalog) = update.catalog {
             self.apply_catalog(now, &catalog);
         }
@@ -572,38 +553,8 @@
             "upstreams": upstreams,
             "gateways": cluster.gateways,
             "missing": cluster.missing,
+            "quarantine": self.quarantine.dump(self.now()),
             "open": self.open_requests.load(Ordering::Relaxed),
         })
     }
 }
-
-impl ClusterView {
-    /// Returns the upstreams that all connected hubs report as silent.
-    fn silent_upstreams(&self, now: Time) -> HashSet<Name> {
-        let is_fresh = |h: &&HubView| now.since(h.last_response) <= DISCONNECTED_AFTER;
-        let mut views = self.hubs.values().filter(is_fresh);
-        let Some(first) = views.next() else {
-            return HashSet::new();
-        };
-        let rest: Vec<&HubView> = views.collect();
-        let agreed = first.silent.iter();
-        let agreed = agreed.filter(|name| rest.iter().all(|v| v.silent.contains(*name)));
-        agreed.cloned().collect()
-    }
-
-    /// Selects the hub whose usage totals apply, and returns whether it or its
-    /// epoch changed.
-    fn select_usage_source(&mut self, now: Time) -> (Option<SocketAddr>, bool) {
-        let is_fresh = |at: &SocketAddr| {
-            let view = self.hubs.get(at);
-            view.is_some_and(|v| v.is_complete && now.since(v.last_response) <= DISCONNECTED_AFTER)
-        };
-        let kept = self.usage_source.filter(|(at, _)| is_fresh(at));
-        let chosen = kept.map(|(at, _)| at);
-        let chosen = chosen.or_else(|| self.hubs.keys().copied().filter(is_fresh).min());
-        let next = chosen.map(|at| (at, self.hubs[&at].epoch));
-        let is_new = next != self.usage_source;
-        self.usage_source = next;
-        (chosen, is_new)
-    }
-}
--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -12,6 +12,7 @@
 };
 use sequoiawing_runtime::{spawn, timeout};
 use std::{
+    io,
     net::SocketAddr,
     pin::Pin,
     sync::Arc,
@@ -127,9 +128,22 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, ClientError> {
+    /// Checks that the server accepts connections. Nothing is sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection attempt.
+    pub async fn check_connection(&self, address: SocketAddr) -> io::Result<()> {
+        self.open(address).await.map(drop)
+    }
+
+    async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let result = timeout(self.connect_timeout, TcpStream::connect(address)).await;
-        let result = result.unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()));
+        result.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, ClientError> {
+        let result = self.open(address).await;
         let stream = result.map_err(|e| ClientError::NotSent(e.to_string()))?;
         stream.set_nodelay(true).ok();
         let (sender, connection) = handshake(Socket::new(stream))
--- a/crates/sequoiawing_hub/src/aggregation.rs
+++ b/crates/sequoiawing_hub/src/aggregation.rs
@@ -1,4 +1,4 @@
-use sequoiawing_link::{DemandBatch, GatewayReport, GatewayUsage, ModelDemand};
+use sequoiawing_link::{DemandBatch, GatewayReport, GatewayUsage, ModelDemand, QuarantineReport};
 use sequoiawing_types::{Name, Time};
 use serde::Serialize;
 use std::{
@@ -33,6 +33,8 @@
     used: BTreeMap<Name, u64>,
     unreachable: Vec<Name>,
     reached: Vec<Name>,
+    #[serde(skip)]
+    quarantine: QuarantineReport,
     /// The stamp of its last report to this hub; 0 if there was none.
     #[serde(rename = "reported")]
     report_stamp: u64,
@@ -47,6 +49,7 @@
             used: BTreeMap::new(),
             unreachable: Vec::new(),
             reached: Vec::new(),
+            quarantine: QuarantineReport::default(),
             report_stamp: 0,
         }
     }
@@ -92,6 +95,7 @@
             used: report.used.clone(),
             unreachable: report.unreachable.clone(),
             reached: report.reached.clone(),
+            quarantine: report.quarantine.clone(),
             age: 0,
         };
         self.merge(now, &usage);
@@ -120,6 +124,7 @@
             gateway.leaving = usage.leaving;
             gateway.unreachable.clone_from(&usage.unreachable);
             gateway.reached.clone_from(&usage.reached);
+            gateway.quarantine.clone_from(&usage.quarantine);
         }
         for (customer, used) in &usage.used {
             let known = gateway.used.entry(customer.clone()).or_default();
@@ -142,6 +147,7 @@
             used: g.used.iter().map(|(n, u)| (n.clone(), *u)).collect(),
             unreachable: g.unreachable.clone(),
             reached: g.reached.clone(),
+            quarantine: g.quarantine.clone(),
             age: u64::try_from(now.since(g.last_report).as_millis()).unwrap_or(u64::MAX),
         });
         (self.stamp, usage.collect())
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -1,5 +1,8 @@
 use crate::{
-    DemandDeduplicator, LoaderOptions, UsageAggregator, loader, mirror, relay, service::HubService,
+    DemandDeduplicator, LoaderOptions, UsageAggregator, loader, mirror,
+    poison::{self, PoisonWatch},
+    relay,
+    service::HubService,
 };
 use event_listener::Event;
 use parking_lot::Mutex;
@@ -8,8 +11,8 @@
 use sequoiawing_fleet::{Interest, Roster, UpstreamState};
 use sequoiawing_link::{
     ControlError, GatewayReport, Hub as _, HubClient, HubInfo, LinkListener, MirrorReply,
-    MirrorRequest, ModelDemand, OrderedLoads, PlannedLoad, Secret, Stub, SyncReply,
-    connection_handler,
+    MirrorRequest, ModelDemand, OrderedLoads, PlannedLoad, QuarantineReport, Secret, Stub,
+    SyncReply, connection_handler,
 };
 use sequoiawing_runtime::{Clock, Shutdown, Watch, sleep, spawn, timeout};
 use sequoiawing_tables::{Command, Outcome};
@@ -87,6 +90,9 @@
     pub(crate) last_order: Mutex<Option<Time>>,
     /// The upstreams that gateways cannot reach.
     pub(crate) unreachable: Mutex<BTreeSet<Name>>,
+    pub(crate) poison: Mutex<PoisonWatch>,
+    /// Notified when a gateway has reported anything for `poison`.
+    pub(crate) poison_reported: Event,
     stubs: Mutex<HashMap<IpAddr, Stub<HubClient>>>,
 }
 
@@ -140,6 +146,21 @@
         }
         self.usage.lock().record(self.now(), report);
         self.update_unreachable();
+        let gateway = (&report.host, report.incarnation);
+        self.record_quarantine(gateway, Duration::ZERO, &report.quarantine);
+    }
+
+    /// Records what a gateway knew of crashed upstreams `age` ago.
+    pub(crate) fn record_quarantine(
+        &self,
+        gateway: (&Name, u64),
+        age: Duration,
+        report: &QuarantineReport,
+    ) {
+        let now = self.now();
+        if self.poison.lock().record(now, gateway, age, report) {
+            self.poison_reported.notify(usize::MAX);
+        }
     }
 
     /// Adds demand for the loader if this host leads, and drops it otherwise.
@@ -212,6 +233,7 @@
             gateways,
             missing,
             ordered: self.ordered_loads(now),
+            quarantine: self.poison.lock().update(now),
             seen,
         }
     }
@@ -302,6 +324,7 @@
             "upstreams": upstreams,
             "usage": *self.usage.lock(),
             "ordered": self.ordered_loads(self.now()),
+            "quarantine": self.poison.lock().dump(self.now()),
             "version": self.handle.tables().catalog.version,
         })
     }
@@ -357,6 +380,8 @@
             ordered_loads: Mutex::default(),
             last_order: Mutex::default(),
             unreachable: Mutex::default(),
+            poison: Mutex::default(),
+            poison_reported: Event::new(),
             stubs: Mutex::default(),
         });
         let service = HubService {
@@ -365,6 +390,7 @@
         spawn(listener.serve(connection_handler!(service.serve()), shutdown.clone())).detach();
         spawn(mirror::mirror_other_hubs(state.clone(), shutdown.clone())).detach();
         spawn(relay::relay_demand(state.clone(), shutdown.clone())).detach();
+        spawn(poison::detect(state.clone(), shutdown.clone())).detach();
         if let Some(options) = options {
             spawn(loader::run(state.clone(), options, shutdown.clone())).detach();
         }
--- a/crates/sequoiawing_hub/src/lib.rs
+++ b/crates/sequoiawing_hub/src/lib.rs
@@ -12,6 +12,7 @@
 mod hub;
 mod loader;
 mod mirror;
+mod poison;
 mod relay;
 mod service;
 
--- a/crates/sequoiawing_hub/src/mirror.rs
+++ b/crates/sequoiawing_hub/src/mirror.rs
@@ -99,6 +99,11 @@
         aggregator.merge(now, usage);
     }
     drop(aggregator);
+    for usage in &update.uses {
+        let gateway = (&usage.host, usage.incarnation);
+        let age = Duration::from_millis(usage.age);
+        state.record_quarantine(gateway, age, &usage.quarantine);
+    }
     if let Some(ordered) = update.ordered {
         state.set_ordered_loads(ordered);
     }
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -1,4 +1,4 @@
-use crate::ControlError;
+use crate::{ControlError, QuarantineReport, QuarantineUpdate};
 use sequoiawing_catalog::{Catalog, Document};
 use sequoiawing_fleet::{Cursor, RosterUpdate};
 use sequoiawing_types::Name;
@@ -71,6 +71,8 @@
     pub unreachable: Vec<Name>,
     /// The upstreams that recently answered.
     pub reached: Vec<Name>,
+    /// What the gateway knows of crashed upstreams.
+    pub quarantine: QuarantineReport,
     /// The value of `seen` in the hub's last reply.
     pub seen: u64,
     /// The maximum time to wait for changes before replying, in milliseconds.
@@ -109,6 +111,9 @@
     pub unreachable: Vec<Name>,
     /// The upstreams that answered the gateway.
     pub reached: Vec<Name>,
+    /// What the gateway knows of crashed upstreams; ages are those at the time of
+    /// the report.
+    pub quarantine: QuarantineReport,
     /// The time since the report, in milliseconds.
     pub age: u64,
 }
@@ -169,6 +174,8 @@
     pub missing: u32,
     /// The leader's orders, as far as the hub knows them.
     pub ordered: Option<OrderedLoads>,
+    /// The prompt parts that are suspected or quarantined.
+    pub quarantine: QuarantineUpdate,
     /// The hub's change counter, to be returned in the next report.
     pub seen: u64,
 }
--- a/crates/sequoiawing_link/src/lib.rs
+++ b/crates/sequoiawing_link/src/lib.rs
@@ -13,6 +13,7 @@
 mod handshake;
 mod hub;
 mod peer;
+mod quarantine;
 mod serve;
 mod stub;
 mod translation;
@@ -30,6 +31,9 @@
     ModelDemand, OrderedLoads, PlannedLoad, SyncReply,
 };
 pub use peer::{ExchangeReply, Peer, PeerClient, RouterStatus, UpstreamBatch};
+pub use quarantine::{
+    CrashReport, CrashedPart, PartSuccess, QuarantineEntry, QuarantineReport, QuarantineUpdate,
+};
 pub use serve::{
     Connection, ConnectionHandler, LinkListener, Transport, server_channel, spawn_call,
 };
--- a/crates/sequoiawing_telemetry/src/meters.rs
+++ b/crates/sequoiawing_telemetry/src/meters.rs
@@ -60,6 +60,8 @@
     idle: Counter<f64>,
     service: Counter<u64>,
     refused: Counter<u64>,
+    quarantine_refused: Counter<u64>,
+    quarantined: Gauge<u64>,
     upstreams: Gauge<u64>,
     waiting: Gauge<u64>,
     active: Gauge<u64>,
@@ -121,6 +123,13 @@
                 "{request}",
                 "Requests that were refused",
             ),
+            quarantine_refused: counter(
+                &meter,
+                "sequoiawing.quarantine.refused.requests",
+                "{request}",
+                "Requests that were refused for a quarantined prompt part",
+            ),
+            quarantined: gauge(&meter, "sequoiawing.quarantine.parts", "{part}"),
             upstreams: gauge(&meter, "sequoiawing.upstreams", "{upstream}"),
             waiting: gauge(&meter, "sequoiawing.waiting.requests", "{request}"),
             active: gauge(&meter, "http.server.active_requests", "{request}"),
@@ -159,6 +168,16 @@
         self.refused.add(1, &attributes);
     }
 
+    /// Counts a request that was refused for a quarantined prompt part.
+    pub fn record_quarantine_refusal(&self) {
+        self.quarantine_refused.add(1, &[]);
+    }
+
+    /// Sets the number of quarantined prompt parts.
+    pub fn set_quarantined_parts(&self, count: usize) {
+        self.quarantined.record(to_u64(count), &[]);
+    }
+
     /// Adds time during which a runner held models but ran no requests.
     pub fn record_idle_time(&self, pool: &Name, duration: Duration) {
         let pool = KeyValue::new("sequoiawing.pool", pool.to_string());
