--- a/crates/sequoiawing_gateway/src/crash_log.rs
+++ b/crates/sequoiawing_gateway/src/crash_log.rs
@@ -1,3 +1,6 @@
+#[cfg(test)]
+mod tests;
+
 use sequoiawing_link::{CrashReport, CrashedPart};
 use sequoiawing_policy::serving::PromptPart;
 use sequoiawing_types::{Name, Time};
--- a/crates/sequoiawing_hub/src/poison.rs
+++ b/crates/sequoiawing_hub/src/poison.rs
@@ -1,5 +1,8 @@
 //! Detects prompt parts that crash upstreams.
 
+#[cfg(test)]
+mod tests;
+
 use crate::hub::{HubState, join_names};
 use futures_lite::FutureExt;
 use sequoiawing_link::{QuarantineEntry, QuarantineReport, QuarantineUpdate};
--- /dev/null
+++ b/crates/sequoiawing_hub/src/poison/tests.rs
@@ -0,0 +1,126 @@
+use super::PoisonWatch;
+use sequoiawing_link::{CrashReport, CrashedPart, PartSuccess, QuarantineEntry, QuarantineReport};
+use sequoiawing_types::{Name, Time};
+use std::time::Duration;
+
+const PART: u64 = 0xbad;
+
+/// The time after the last crash by which a decision is made.
+const DECIDED_AFTER: Duration = Duration::from_secs(2);
+
+fn crash(number: u64, sent_age: u64, age: u64) -> CrashReport {
+    CrashReport {
+        number,
+        upstream: Name::from(format!("u{number}").as_str()),
+        epoch: 1,
+        age,
+        parts: vec![CrashedPart {
+            part: PART,
+            sent_age,
+        }],
+    }
+}
+
+fn report(crashes: Vec<CrashReport>) -> QuarantineReport {
+    QuarantineReport {
+        crashes,
+        ..QuarantineReport::default()
+    }
+}
+
+fn record(watch: &mut PoisonWatch, now: Time, incarnation: u64, report: &QuarantineReport) {
+    let gateway = (&Name::from("edge"), incarnation);
+    watch.record(now, gateway, Duration::ZERO, report);
+    watch.advance(now);
+}
+
+/// Returns the parts that are quarantined once all decisions are made.
+fn decide(watch: &mut PoisonWatch, now: Time) -> Vec<u64> {
+    watch.advance(now + DECIDED_AFTER);
+    let update = watch.update(now + DECIDED_AFTER);
+    update.quarantined.iter().map(|e| e.part).collect()
+}
+
+#[test]
+fn crashes_in_a_row_quarantine_their_part() {
+    let mut watch = PoisonWatch::default();
+    let mut now = Time::from_millis(10_000);
+    for number in 1..=3 {
+        now = now + Duration::from_secs(1);
+        record(&mut watch, now, 1, &report(vec![crash(number, 200, 100)]));
+    }
+    assert_eq!(decide(&mut watch, now), [PART]);
+}
+
+#[test]
+fn crashes_reported_to_another_hub_count_by_their_own_times() {
+    let mut watch = PoisonWatch::default();
+    let now = Time::from_millis(20_000);
+    let crashes = vec![
+        crash(1, 3_200, 3_100),
+        crash(2, 2_200, 2_100),
+        crash(3, 1_200, 1_100),
+    ];
+    let gateway = (&Name::from("edge"), 1);
+    watch.record(now, gateway, Duration::from_millis(300), &report(crashes));
+    assert_eq!(decide(&mut watch, now), [PART]);
+}
+
+// Guards against late repeats of reports that make a series of crashes at one moment.
+#[test]
+fn a_repeated_report_does_not_move_the_times_of_crashes() {
+    let mut watch = PoisonWatch::default();
+    let now = Time::from_millis(10_000);
+    let at_once = report(vec![
+        crash(1, 600, 500),
+        crash(2, 600, 400),
+        crash(3, 600, 300),
+    ]);
+    for delay in [0, 1_000, 2_000] {
+        record(&mut watch, now + Duration::from_millis(delay), 1, &at_once);
+    }
+    assert_eq!(decide(&mut watch, now + DECIDED_AFTER), [0_u64; 0]);
+}
+
+#[test]
+fn numbers_start_anew_with_each_start_of_a_gateway() {
+    let mut watch = PoisonWatch::default();
+    let mut now = Time::from_millis(10_000);
+    for incarnation in 1..=3 {
+        now = now + Duration::from_secs(1);
+        let mut crash = crash(1, 200, 100);
+        crash.epoch = incarnation;
+        record(&mut watch, now, incarnation, &report(vec![crash]));
+    }
+    assert_eq!(decide(&mut watch, now), [PART]);
+}
+
+#[test]
+fn a_part_that_succeeds_between_crashes_is_not_quarantined() {
+    let mut watch = PoisonWatch::default();
+    let mut now = Time::from_millis(10_000);
+    for number in 1..=4 {
+        now = now + Duration::from_secs(1);
+        let mut report = report(vec![crash(number, 200, 100)]);
+        report.successes = vec![PartSuccess { part: PART, age: 0 }];
+        record(&mut watch, now, 1, &report);
+    }
+    assert_eq!(decide(&mut watch, now), [0_u64; 0]);
+}
+
+#[test]
+fn a_hub_that_starts_anew_learns_quarantined_parts_from_gateways() {
+    let mut watch = PoisonWatch::default();
+    let now = Time::from_millis(100);
+    let known = QuarantineReport {
+        quarantined: vec![QuarantineEntry {
+            part: PART,
+            term: 2,
+            remaining: 60_000,
+            ..QuarantineEntry::default()
+        }],
+        ..QuarantineReport::default()
+    };
+    record(&mut watch, now, 1, &known);
+    assert_eq!(watch.update(now).quarantined, known.quarantined);
+}
--- a/crates/sequoiawing_telemetry/tests/meters.rs
+++ b/crates/sequoiawing_telemetry/tests/meters.rs
@@ -20,6 +20,8 @@
     meters.set_upstreams(3);
     meters.set_requests(4, 5);
     meters.set_state(42, true);
+    meters.record_quarantine_refusal();
+    meters.set_quarantined_parts(1);
     meters.scrape().expect("the metrics can be encoded")
 }
 
@@ -45,6 +47,8 @@
     idle_accelerators_are_counted_in_seconds: "sequoiawing_accelerator_idle_time_seconds_total{";
     service_is_counted_in_tokens: "sequoiawing_service_tokens_total{";
     refusals_are_counted: "sequoiawing_refused_requests_total{";
+    quarantine_refusals_are_counted: "sequoiawing_quarantine_refused_requests_total{";
+    quarantined_parts_are_a_gauge: "# TYPE sequoiawing_quarantine_parts gauge";
     the_process_is_named: "target_info{";
 }
 
