Wait for enough evidence before a prompt part is quarantined

A sound part that was decided first also explained the crashes of the real one, which then needed further ones.

A part waits while another explains its crashes and more, and for a second while another explains as many.

--- a/crates/sequoiawing_policy/src/serving/quarantine/detector.rs
+++ b/crates/sequoiawing_policy/src/serving/quarantine/detector.rs
@@ -15,11 +15,35 @@
 /// recently are dropped first.
 const MAX_SUCCESSES: NonZeroUsize = NonZeroUsize::new(8_192).expect("the capacity is not zero");
 
-/// Crashes of a part in a row, with no completed answer since the first.
-struct Chain {
+/// The crashes of a part since the last completed answer on it.
+struct Suspect {
     part: u64,
     crashes: Vec<CrashKey>,
+    /// Those of the crashes that count: each request was sent after the previous
+    /// crash that counts.
+    chain: Vec<CrashKey>,
     has_succeeded: bool,
+    /// How many crashes the chain needs for a quarantine.
+    needed: usize,
+}
+
+impl Suspect {
+    /// Returns how well the part explains its crashes.
+    fn rank(&self) -> (usize, bool) {
+        (self.crashes.len(), !self.has_succeeded)
+    }
+
+    /// Returns whether the next crash should tell this part from another one
+    /// before that is quarantined: always if this part explains its crashes and
+    /// more, and for a while if this part explains as many.
+    fn defers(&self, other: &Self, is_patient: bool) -> bool {
+        let takes_part = |key: &CrashKey| self.crashes.contains(key);
+        if self.part == other.part || self.rank() < other.rank() {
+            return false;
+        }
+        let explains = self.rank() > other.rank() && other.chain.iter().all(takes_part);
+        explains || is_patient && other.crashes.iter().any(takes_part)
+    }
 }
 
 /// Decides on a hub which prompt parts crash the engines that answer on them.
@@ -92,24 +116,24 @@
         self.due = None;
         self.review_probation(now, &mut decisions);
         self.explain_crashes(|entry| !entry.released);
-        let mut chains = self.chains();
-        while let Some(first) = self.find_due(now, &chains) {
+        let mut suspects = self.find_suspects();
+        while let Some(first) = self.find_due(now, &suspects) {
             // Parts with the same crashes cannot be told apart.
             let is_same =
-                |c: &&Chain| c.crashes == first.crashes && c.has_succeeded == first.has_succeeded;
-            let same: Vec<_> = chains.iter().filter(is_same).collect();
+                |s: &&Suspect| s.crashes == first.crashes && s.has_succeeded == first.has_succeeded;
+            let same: Vec<_> = suspects.iter().filter(is_same).collect();
             let before = decisions.len();
-            for chain in same {
-                decisions.extend(self.quarantine(now, chain.part, &chain.crashes));
+            for suspect in same {
+                decisions.extend(self.quarantine(now, suspect.part, &suspect.chain));
             }
             if decisions.len() == before {
                 break;
             }
             self.explain_crashes(|entry| !entry.released);
-            chains = self.chains();
+            suspects = self.find_suspects();
         }
-        self.schedule(now, &chains);
-        self.list_suspects(now, &chains);
+        self.schedule(now, &suspects);
+        self.list_suspects(now, &suspects);
         decisions
     }
 
@@ -170,44 +194,69 @@
         }
     }
 
-    /// Returns the chains of all parts that are not quarantined.
-    fn chains(&self) -> Vec<Chain> {
-        let chains = self.evidence.parts().map(|part| self.chain(part));
-        chains.filter(|chain| !chain.crashes.is_empty()).collect()
+    /// Returns the parts with crashes that nothing explains yet.
+    fn find_suspects(&self) -> Vec<Suspect> {
+        let suspects = self.evidence.parts().map(|part| self.suspect(part));
+        suspects.filter(|s| !s.crashes.is_empty()).collect()
     }
 
-    fn chain(&self, part: u64) -> Chain {
+    fn suspect(&self, part: u64) -> Suspect {
         let success = self.successes.peek(&part).copied();
-        let mut crashes = Vec::new();
+        let mut suspect = Suspect {
+            part,
+            crashes: Vec::new(),
+            chain: Vec::new(),
+            has_succeeded: success.is_some(),
+            needed: self.settings.crashes,
+        };
         let mut previous = None;
         for (key, crash, sent) in self.evidence.crashes(part) {
-            let is_cleared = success.is_some_and(|at| crash.broken <= at);
-            if !is_cleared && previous.is_none_or(|broken| sent > broken) {
+            if success.is_some_and(|at| crash.broken <= at) {
+                continue;
+            }
+            suspect.crashes.push(key);
+            if previous.is_none_or(|broken| sent > broken) {
                 previous = Some(crash.broken);
-                crashes.push(key);
+                suspect.chain.push(key);
             }
         }
-        Chain {
-            part,
-            crashes,
-            has_succeeded: success.is_some(),
+        if suspect.chain.len() >= self.settings.crashes {
+            suspect.needed += self.count_doubts(&suspect).min(self.settings.max_doubts);
         }
+        suspect
+    }
+
+    /// Returns the number of reasons why a part might be sound: an answer that
+    /// was completed before, and each crash meanwhile in which it took no part.
+    fn count_doubts(&self, suspect: &Suspect) -> usize {
+        let ends = [suspect.chain.first(), suspect.chain.last()];
+        let [Some(first), Some(last)] = ends.map(|key| key.map(|k| self.evidence.crash(*k).broken))
+        else {
+            return 0;
+        };
+        let meanwhile = self.evidence.unexplained(first, last);
+        let others = meanwhile.filter(|key| !suspect.crashes.contains(key));
+        others.count() + usize::from(suspect.has_succeeded)
     }
 
-    /// Returns when a chain leads to a quarantine if nothing changes before.
-    fn chain_due(&self, chain: &Chain) -> Option<Time> {
-        let last = chain.crashes.get(self.settings.crashes.checked_sub(1)?)?;
+    /// Returns when a suspect may be quarantined if nothing changes before.
+    fn due(&self, suspect: &Suspect) -> Option<Time> {
+        let last = suspect.chain.get(suspect.needed.checked_sub(1)?)?;
         let settled = self.evidence.crash(*last).broken + self.settings.settling;
-        let first = self.evidence.crash(chain.crashes[0]);
+        let first = self.evidence.crash(suspect.chain[0]);
         Some(settled.max(first.learned + self.settings.hearing))
     }
 
-    /// Returns the chain that is due and explains most: the longest, of a part
-    /// that never succeeded if there is one.
-    fn find_due<'a>(&self, now: Time, chains: &'a [Chain]) -> Option<&'a Chain> {
-        let is_due = |c: &&Chain| self.chain_due(c).is_some_and(|due| due <= now);
-        let rank = |c: &&Chain| (Reverse(c.crashes.len()), c.has_succeeded, c.part);
-        chains.iter().filter(is_due).min_by_key(rank)
+    /// Returns the suspect to be quarantined next.
+    fn find_due<'a>(&self, now: Time, suspects: &'a [Suspect]) -> Option<&'a Suspect> {
+        let is_due = |s: &&Suspect| {
+            self.due(s).is_some_and(|due| {
+                let patience_ends = due + self.settings.patience;
+                due <= now && !suspects.iter().any(|o| o.defers(s, now < patience_ends))
+            })
+        };
+        let due = suspects.iter().filter(is_due);
+        due.min_by_key(|s| (Reverse(s.rank()), s.part))
     }
 
     /// Quarantines a part unless the table is full of quarantined parts.
@@ -237,13 +286,16 @@
         })
     }
 
-    fn schedule(&mut self, now: Time, chains: &[Chain]) {
-        for chain in chains {
-            if let Some(due) = self.chain_due(chain) {
-                // A due chain that is left found the table full.
-                let retry = now + self.settings.settling;
-                self.add_due(if due <= now { retry } else { due });
-            }
+    fn schedule(&mut self, now: Time, suspects: &[Suspect]) {
+        for suspect in suspects {
+            let Some(due) = self.due(suspect) else {
+                continue;
+            };
+            let last = due + self.settings.patience;
+            // Whoever is left after the patience found the table full.
+            let retry = now + self.settings.settling;
+            let next = [due, last, retry].into_iter().find(|at| *at > now);
+            self.add_due(next.unwrap_or(retry));
         }
         let ends = self.table.iter().map(|e| e.until).filter(|end| now < *end);
         if let Some(end) = ends.min() {
@@ -255,13 +307,13 @@
         self.due = Some(self.due.map_or(due, |d| d.min(due)));
     }
 
-    fn list_suspects(&mut self, now: Time, chains: &[Chain]) {
+    fn list_suspects(&mut self, now: Time, suspects: &[Suspect]) {
         let probation = self.table.iter().filter(|e| e.is_on_probation(now));
         self.suspects = probation.map(|e| e.part).collect();
-        let mut ranked: Vec<_> = chains.iter().collect();
-        ranked.sort_by_key(|c| (Reverse(c.crashes.len()), c.part));
+        let mut ranked: Vec<_> = suspects.iter().collect();
+        ranked.sort_by_key(|s| (Reverse(s.rank()), s.part));
         let room = MAX_SUSPECTS.saturating_sub(self.suspects.len());
-        let chosen = ranked.into_iter().take(room).map(|c| c.part);
+        let chosen = ranked.into_iter().take(room).map(|s| s.part);
         self.suspects.extend(chosen);
     }
 }
--- a/crates/sequoiawing_policy/src/serving/quarantine/evidence.rs
+++ b/crates/sequoiawing_policy/src/serving/quarantine/evidence.rs
@@ -95,6 +95,16 @@
         found
     }
 
+    /// Returns the crashes from `first` to `last` that no quarantined part
+    /// explains.
+    pub(super) fn unexplained(&self, first: Time, last: Time) -> impl Iterator<Item = CrashKey> {
+        let is_open = move |c: &Crash| !c.is_explained && (first..=last).contains(&c.broken);
+        self.crashes
+            .iter()
+            .filter(move |(_, c)| is_open(c))
+            .map(|(key, _)| key)
+    }
+
     pub(super) fn crash(&self, key: CrashKey) -> &Crash {
         &self.crashes[key]
     }
--- /dev/null
+++ b/crates/sequoiawing_policy/tests/quarantine/main.rs
@@ -0,0 +1,6 @@
+//! Tests which prompt parts are quarantined, how soon and for how long.
+
+mod detector;
+mod gate;
+mod load;
+mod world;
