--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -13,11 +13,13 @@
 mod dialect;
 mod exchange;
 mod filters;
+mod hedge;
 mod hub_sync;
 mod quarantine;
 mod relay;
 mod settings;
 mod slots;
+mod source;
 mod state;
 
 pub use daemon::Gateway;
--- a/crates/sequoiawing_hub/src/poison/tests.rs
+++ b/crates/sequoiawing_hub/src/poison/tests.rs
@@ -1,5 +1,6 @@
 use super::PoisonWatch;
 use sequoiawing_link::{CrashReport, CrashedPart, PartSuccess, QuarantineEntry, QuarantineReport};
+use sequoiawing_policy::serving::QuarantineSettings;
 use sequoiawing_types::{Name, Time};
 use std::time::Duration;
 
@@ -8,6 +9,11 @@
 /// The time after the last crash by which a decision is made.
 const DECIDED_AFTER: Duration = Duration::from_secs(2);
 
+/// Returns the numbers of just enough crashes for a quarantine.
+fn numbers() -> std::ops::RangeInclusive<u64> {
+    1..=QuarantineSettings::default().crashes as u64
+}
+
 fn crash(number: u64, sent_age: u64, age: u64) -> CrashReport {
     CrashReport {
         number,
@@ -45,7 +51,7 @@
 fn crashes_in_a_row_quarantine_their_part() {
     let mut watch = PoisonWatch::default();
     let mut now = Time::from_millis(10_000);
-    for number in 1..=3 {
+    for number in numbers() {
         now = now + Duration::from_secs(1);
         record(&mut watch, now, 1, &report(vec![crash(number, 200, 100)]));
     }
@@ -56,11 +62,11 @@
 fn crashes_reported_to_another_hub_count_by_their_own_times() {
     let mut watch = PoisonWatch::default();
     let now = Time::from_millis(20_000);
-    let crashes = vec![
-        crash(1, 3_200, 3_100),
-        crash(2, 2_200, 2_100),
-        crash(3, 1_200, 1_100),
-    ];
+    let crashes = numbers().map(|number| {
+        let age = 10_000 - number * 1_000;
+        crash(number, age + 100, age)
+    });
+    let crashes = crashes.collect();
     let gateway = (&Name::from("edge"), 1);
     watch.record(now, gateway, Duration::from_millis(300), &report(crashes));
     assert_eq!(decide(&mut watch, now), [PART]);
@@ -71,12 +77,9 @@
 fn a_repeated_report_does_not_move_the_times_of_crashes() {
     let mut watch = PoisonWatch::default();
     let now = Time::from_millis(10_000);
-    let at_once = report(vec![
-        crash(1, 600, 500),
-        crash(2, 600, 400),
-        crash(3, 600, 300),
-    ]);
-    for delay in [0, 1_000, 2_000] {
+    let crashes = numbers().map(|number| crash(number, 600, 500 - number * 50));
+    let at_once = report(crashes.collect());
+    for delay in [0, 1_000, 2_000, 3_000] {
         record(&mut watch, now + Duration::from_millis(delay), 1, &at_once);
     }
     assert_eq!(decide(&mut watch, now + DECIDED_AFTER), [0_u64; 0]);
@@ -86,7 +89,7 @@
 fn numbers_start_anew_with_each_start_of_a_gateway() {
     let mut watch = PoisonWatch::default();
     let mut now = Time::from_millis(10_000);
-    for incarnation in 1..=3 {
+    for incarnation in numbers() {
         now = now + Duration::from_secs(1);
         let mut crash = crash(1, 200, 100);
         crash.epoch = incarnation;
@@ -99,7 +102,7 @@
 fn a_part_that_succeeds_between_crashes_is_not_quarantined() {
     let mut watch = PoisonWatch::default();
     let mut now = Time::from_millis(10_000);
-    for number in 1..=4 {
+    for number in numbers() {
         now = now + Duration::from_secs(1);
         let mut report = report(vec![crash(number, 200, 100)]);
         report.successes = vec![PartSuccess { part: PART, age: 0 }];
