--- a/crates/sequoiawing_gateway/src/hedge.rs
+++ b/crates/sequoiawing_gateway/src/hedge.rs
@@ -225,6 +225,7 @@
     request: &mut BalancerRequest,
     last_event_id: Option<u64>,
 ) -> Option<impl Future<Output = Result<UpstreamResponse, AttemptError>> + use<'a>> {
+    state.recheck_parts(&exchange.meta, true).ok()?;
     let slot = SlotSearch::new(state, exchange).try_acquire(request)?;
     if !state.take_retry(&exchange.pool) {
         return None;
@@ -240,7 +241,7 @@
     Some(async move {
         let sent = pin!(send(state, exchange, slot, last_event_id));
         let response = match sent.await {
-            Ok(response) => wait_for_event(exchange, response).await,
+            Ok(response) => wait_for_event(state, exchange, response).await,
             Err(error) => Err(error),
         };
         response.inspect_err(|error| {
@@ -256,6 +257,7 @@
 /// Waits for the first event of a stream, for as long as two upstreams may work
 /// on it.
 async fn wait_for_event(
+    state: &Arc<GatewayState>,
     exchange: &GatewayExchange,
     response: UpstreamResponse,
 ) -> Result<UpstreamResponse, AttemptError> {
@@ -268,6 +270,7 @@
     };
     match timeout(MAX_OVERLAP, source.stream.read_ahead()).await {
         Some(Err(cause)) => {
+            state.record_broken_answer(&exchange.meta, &source.slot);
             source.slot.release(AttemptOutcome::Aborted);
             Err(AttemptError::MayHaveRun(cause))
         }
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -7,12 +7,15 @@
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
 mod attempt;
+mod cluster_view;
+mod crash_log;
 mod daemon;
 mod dialect;
 mod exchange;
 mod filters;
 mod hedge;
 mod hub_sync;
+mod quarantine;
 mod relay;
 mod settings;
 mod slots;
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -165,9 +165,14 @@
         };
         log::info!(
             target: "gateway", request = self.exchange.meta.id.as_str(),
-            upstream = slot.upstream().as_str(), events = self.events.count(), cause = cause;
+            upstream = slot.upstream().as_str(), start = slot.assignment.epoch,
+            parts = self.exchange.meta.shared_ids(), events = self.events.count(),
+            ran_ms = slot.millis_since_assigned(), cause = cause;
             "Stream from the upstream was interrupted."
         );
+        if outcome == AttemptOutcome::Aborted {
+            self.state.record_broken_answer(&self.exchange.meta, &slot);
+        }
         slot.release(outcome);
         self.events.discard_partial();
     }
@@ -190,6 +195,7 @@
             return false;
         }
         while self.attempts < self.exchange.route.attempts
+            && self.may_resume()
             && self.state.take_retry(&self.exchange.pool)
         {
             let slot = SlotSearch::new(&self.state, &self.exchange)
@@ -198,6 +204,9 @@
             let Ok(slot) = slot else {
                 return false;
             };
+            if !self.may_resume() {
+                return false;
+            }
             if self.resume_at(slot).await {
                 return true;
             }
@@ -205,6 +214,12 @@
         false
     }
 
+    /// Returns whether no prompt part of the request is quarantined.
+    fn may_resume(&self) -> bool {
+        let rechecked = self.state.recheck_parts(&self.exchange.meta, true);
+        rechecked.is_ok()
+    }
+
     /// Resumes the stream at an upstream; returns whether it succeeded.
     async fn resume_at(&mut self, slot: Slot) -> bool {
         let id = self.exchange.meta.id.clone();
@@ -256,6 +271,7 @@
     fn finish(&mut self, cause: &str) {
         if let Some(source) = self.source.take() {
             source.slot.release(AttemptOutcome::Succeeded);
+            self.state.record_part_success(&self.exchange.meta);
         }
         self.is_finished = true;
         self.log("whole", cause);
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -10,6 +10,7 @@
 mod hub_selector;
 mod loader;
 mod prefix_cache;
+mod quarantine;
 mod retry_window;
 mod shared_bucket;
 mod upstream;
@@ -23,6 +24,10 @@
 pub use hub_selector::{HubRole, HubSelector, HubStatus};
 pub use loader::{LoadPlan, LoaderAction, LoaderEvent, LoaderSettings, ModelLoader};
 pub use prefix_cache::{PrefixCache, PromptPart};
+pub use quarantine::{
+    CrashedAnswer, PoisonDetector, Quarantine, QuarantineDecision, QuarantineSettings,
+    QuarantinedPart, RecentSuccesses,
+};
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use shared_bucket::{PeerView, SharedTokenBucket};
 pub use upstream::ReportedLoad;
