Report only answers that began shortly before their upstream crashed

The quarantine suspects a part by answers that had begun when their upstream crashed. An engine that crashes on a part does so when it begins to write; answers that had been under way for long only share the engine's end, and made parts of long answers look like the cause.

Gateways note when an answer begins and leave out those that began earlier than `QuarantineSettings::onset`. `an_answer_that_began_long_before_the_crash_is_no_evidence` guards it; it can't compile on the code before, which knows no such time.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -21,7 +21,7 @@
 /// An upstream's response.
 pub(crate) enum UpstreamResponse {
     /// An event stream whose head has been received.
-    Stream(Parts, Source),
+    Stream(Parts, Box<Source>),
     /// A response with its complete body.
     Buffered(Parts, Bytes),
 }
@@ -61,7 +61,8 @@
         None => (AttemptOutcome::Failed, Err(AttemptError::TimedOut)),
         Some(Ok(Received::Stream(parts, body))) => {
             let stream = EventStream::new(body);
-            return Ok(UpstreamResponse::Stream(parts, Source { stream, slot }));
+            let source = Box::new(Source { stream, slot });
+            return Ok(UpstreamResponse::Stream(parts, source));
         }
         Some(Ok(Received::Buffered(parts, bytes))) => {
             if !parts.status.is_server_error() {
@@ -130,7 +131,7 @@
         slot.report_load(load);
     }
     match head.kind {
-        ResponseKind::Answer => {}
+        ResponseKind::Answer => slot.begun = Some(state.now()),
         ResponseKind::Foreign => {
             body.discard();
             return Err(AttemptError::MayHaveRun(
--- a/crates/sequoiawing_gateway/src/crash_log.rs
+++ b/crates/sequoiawing_gateway/src/crash_log.rs
@@ -2,7 +2,7 @@
 mod tests;
 
 use sequoiawing_link::{CrashReport, CrashedPart};
-use sequoiawing_policy::serving::PromptPart;
+use sequoiawing_policy::serving::{PromptPart, QuarantineSettings};
 use sequoiawing_types::{Name, Time};
 use std::{
     cmp::Reverse,
@@ -22,6 +22,17 @@
 /// One incarnation of an upstream: its name and epoch.
 pub(crate) type Incarnation = (Name, u64);
 
+/// An answer that broke off.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BrokenAnswer<'a> {
+    /// When the request was sent.
+    pub(crate) sent: Time,
+    /// When the answer began.
+    pub(crate) begun: Time,
+    /// The shared parts of the prompt.
+    pub(crate) shared: &'a [PromptPart],
+}
+
 /// Answers that broke off at one upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct BrokenAnswers {
@@ -40,8 +51,11 @@
 }
 
 /// The recent crashes of upstreams, as evidence for hubs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct CrashLog {
+    /// The longest time between the beginning of an answer and its break that
+    /// makes it evidence.
+    onset: Duration,
     /// The answers of upstreams that are being checked.
     pending: HashMap<Incarnation, BrokenAnswers>,
     crashes: VecDeque<Crash>,
@@ -49,15 +63,26 @@
 }
 
 impl CrashLog {
+    pub(crate) fn new(settings: &QuarantineSettings) -> Self {
+        Self {
+            onset: settings.onset,
+            pending: HashMap::new(),
+            crashes: VecDeque::new(),
+            last_number: 0,
+        }
+    }
+
     /// Adds an answer that broke off; returns whether it is the first at that
-    /// upstream since its last check.
+    /// upstream since its last check. One that began long before is no evidence.
     pub(crate) fn add(
         &mut self,
         now: Time,
         incarnation: &Incarnation,
-        sent: Time,
-        shared: &[PromptPart],
+        answer: BrokenAnswer<'_>,
     ) -> bool {
+        if now.since(answer.begun) > self.onset {
+            return false;
+        }
         let is_first = !self.pending.contains_key(incarnation);
         let answers = self.pending.entry(incarnation.clone());
         let answers = answers.or_insert_with(|| BrokenAnswers {
@@ -66,9 +91,9 @@
             parts: BTreeMap::new(),
         });
         answers.count += 1;
-        for part in shared {
-            let last = answers.parts.entry(part.id).or_insert(sent);
-            *last = sent.max(*last);
+        for part in answer.shared {
+            let last = answers.parts.entry(part.id).or_insert(answer.sent);
+            *last = answer.sent.max(*last);
         }
         is_first
     }
--- a/crates/sequoiawing_gateway/src/crash_log/tests.rs
+++ b/crates/sequoiawing_gateway/src/crash_log/tests.rs
@@ -1,6 +1,6 @@
-use super::{CrashLog, Incarnation, MAX_CRASHES, MAX_PARTS, RETENTION};
+use super::{BrokenAnswer, CrashLog, Incarnation, MAX_CRASHES, MAX_PARTS, RETENTION};
 use sequoiawing_link::CrashedPart;
-use sequoiawing_policy::serving::PromptPart;
+use sequoiawing_policy::serving::{PromptPart, QuarantineSettings};
 use sequoiawing_types::{Name, Time};
 use std::time::Duration;
 
@@ -15,21 +15,34 @@
     ids.map(|id| PromptPart { id, tokens: 1 }).collect()
 }
 
+fn log() -> CrashLog {
+    CrashLog::new(&QuarantineSettings::default())
+}
+
+fn broken(sent: Time, shared: &[PromptPart]) -> BrokenAnswer<'_> {
+    let begun = sent;
+    BrokenAnswer {
+        sent,
+        begun,
+        shared,
+    }
+}
+
 /// Adds an answer that was sent 100 ms before `now` and records its crash.
 fn crash(log: &mut CrashLog, now: Time, epoch: u64, shared: &[PromptPart]) {
     let sent = Time::ZERO + now.since(Time::from_millis(100));
-    log.add(now, &incarnation(epoch), sent, shared);
+    log.add(now, &incarnation(epoch), broken(sent, shared));
     let answers = log.take(&incarnation(epoch)).expect("an answer was added");
     log.record(incarnation(epoch), answers);
 }
 
 #[test]
 fn answers_that_break_off_together_are_one_crash() {
-    let mut log = CrashLog::default();
+    let mut log = log();
     let sent = [49_000, 49_500, 49_200].map(Time::from_millis);
-    assert!(log.add(NOW, &incarnation(1), sent[0], &parts([1, 2])));
-    assert!(!log.add(NOW, &incarnation(1), sent[1], &parts([1])));
-    assert!(!log.add(NOW, &incarnation(1), sent[2], &parts([1, 3])));
+    assert!(log.add(NOW, &incarnation(1), broken(sent[0], &parts([1, 2]))));
+    assert!(!log.add(NOW, &incarnation(1), broken(sent[1], &parts([1]))));
+    assert!(!log.add(NOW, &incarnation(1), broken(sent[2], &parts([1, 3]))));
     let answers = log.take(&incarnation(1)).expect("answers were added");
     log.record(incarnation(1), answers);
     let reports = log.reports(NOW + Duration::from_millis(10));
@@ -41,7 +54,7 @@
 
 #[test]
 fn another_start_of_an_upstream_is_another_crash() {
-    let mut log = CrashLog::default();
+    let mut log = log();
     crash(&mut log, NOW, 1, &parts([1]));
     crash(&mut log, NOW, 2, &parts([1]));
     let numbers: Vec<u64> = log.reports(NOW).iter().map(|r| r.number).collect();
@@ -50,7 +63,7 @@
 
 #[test]
 fn a_report_is_bounded_and_keeps_what_is_newest() {
-    let mut log = CrashLog::default();
+    let mut log = log();
     let last = 3 * MAX_CRASHES as u64;
     for epoch in 1..=last {
         crash(&mut log, NOW, epoch, &parts(0..3 * MAX_PARTS as u64));
@@ -63,7 +76,7 @@
 
 #[test]
 fn crashes_leave_the_report_after_their_retention() {
-    let mut log = CrashLog::default();
+    let mut log = log();
     crash(&mut log, NOW, 1, &parts([1]));
     assert_eq!(log.reports(NOW + RETENTION).len(), 1);
     let late = NOW + RETENTION + Duration::from_millis(1);
@@ -72,7 +85,26 @@
 
 #[test]
 fn a_crash_without_shared_parts_is_not_reported() {
-    let mut log = CrashLog::default();
+    let mut log = log();
     crash(&mut log, NOW, 1, &[]);
     assert!(log.reports(NOW).is_empty());
 }
+
+// Guards against suspecting parts of answers that were under way for long when
+// their upstream crashed.
+#[test]
+fn an_answer_that_began_long_before_the_crash_is_no_evidence() {
+    let mut log = log();
+    let onset = QuarantineSettings::default().onset;
+    let shared = parts([1]);
+    let at = |begun| BrokenAnswer {
+        sent: Time::ZERO,
+        begun,
+        shared: &shared,
+    };
+    let late = Time::ZERO + NOW.since(Time::ZERO + onset + Duration::from_millis(1));
+    assert!(!log.add(NOW, &incarnation(1), at(late)));
+    assert!(log.take(&incarnation(1)).is_none());
+    let just = Time::ZERO + NOW.since(Time::ZERO + onset);
+    assert!(log.add(NOW, &incarnation(1), at(just)));
+}
--- a/crates/sequoiawing_gateway/src/quarantine.rs
+++ b/crates/sequoiawing_gateway/src/quarantine.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     GatewayState, RequestMeta,
-    crash_log::{CrashLog, Incarnation, age_millis},
+    crash_log::{BrokenAnswer, CrashLog, Incarnation, age_millis},
     slots::Slot,
 };
 use parking_lot::Mutex;
@@ -38,10 +38,11 @@
 
 impl QuarantineState {
     pub(crate) fn new(seed: u64) -> Self {
+        let settings = QuarantineSettings::default();
         Self {
-            parts: Mutex::new(Quarantine::new(QuarantineSettings::default(), seed)),
+            parts: Mutex::new(Quarantine::new(settings, seed)),
             successes: Mutex::default(),
-            crashes: Mutex::default(),
+            crashes: Mutex::new(CrashLog::new(&settings)),
             suspects: Mutex::default(),
             live: Mutex::default(),
         }
@@ -165,8 +166,12 @@
         let assignment = &slot.assignment;
         let incarnation = (assignment.name.clone(), assignment.epoch);
         let mut crashes = self.quarantine.crashes.lock();
-        let shared = meta.shared_parts();
-        let is_first = crashes.add(self.now(), &incarnation, slot.assigned, shared);
+        let answer = BrokenAnswer {
+            sent: slot.assigned,
+            begun: slot.begun.unwrap_or(slot.assigned),
+            shared: meta.shared_parts(),
+        };
+        let is_first = crashes.add(self.now(), &incarnation, answer);
         drop(crashes);
         if is_first {
             let state = self.clone();
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -30,7 +30,7 @@
     request: BalancerRequest,
     /// The number of times the request was sent.
     attempts: u32,
-    source: Option<Source>,
+    source: Option<Box<Source>>,
     events: SseSplitter,
     is_finished: bool,
 }
@@ -42,7 +42,7 @@
     exchange: GatewayExchange,
     request: BalancerRequest,
     attempts: u32,
-    response: (Parts, Source),
+    response: (Parts, Box<Source>),
 ) -> Response<Body> {
     let (mut parts, source) = response;
     remove_hop_headers(&mut parts.headers);
@@ -160,7 +160,7 @@
 
     /// Closes the stream of the current upstream.
     fn drop_source(&mut self, outcome: AttemptOutcome, cause: &str) {
-        let Some(Source { slot, .. }) = self.source.take() else {
+        let Some(slot) = self.source.take().map(|source| source.slot) else {
             return;
         };
         log::info!(
@@ -177,7 +177,7 @@
         self.events.discard_partial();
     }
 
-    fn resume_from(&mut self, source: Source) {
+    fn resume_from(&mut self, source: Box<Source>) {
         log::info!(
             target: "gateway", request = self.exchange.meta.id.as_str(),
             upstream = source.slot.upstream().as_str(), behind = self.events.last_id();
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -40,6 +40,8 @@
     pub(crate) assignment: Assignment,
     /// When the slot was assigned, just before the request is sent.
     pub(crate) assigned: Time,
+    /// When the upstream's answer began.
+    pub(crate) begun: Option<Time>,
     outcome: AttemptOutcome,
 }
 
@@ -119,6 +121,7 @@
             state: self.state.clone(),
             assignment,
             assigned: self.state.now(),
+            begun: None,
             outcome: AttemptOutcome::Cancelled,
         }
     }
