Relay answers in HTTP/1.1 whatever version the upstream speaks

A caller could take a broken answer for a complete one when the upstream answered in HTTP/1.0: its head was relayed with that version, so the answer to the caller had no chunks and ended with the connection, also when the stream had broken off. The connection was not kept either.

Cause: the version of the upstream's response was passed on with its head.

Evidence: with an upstream that answers in HTTP/1.0 without a length, `an_old_stream_that_ends_in_an_event_is_not` and `an_old_stream_that_is_reset_is_not` found the broken stream complete.

The client sets the version of each response to HTTP/1.1, for gateways and routers alike; hyper then sends chunks and a break shows.

--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -6,7 +6,7 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body as HttpBody, Frame, Incoming, SizeHint},
     client::conn::http1::{SendRequest, handshake},
 };
@@ -159,6 +159,10 @@
         sender: SendRequest<Body>,
         response: Response<Incoming>,
     ) -> Response<ClientBody> {
+        let mut response = response;
+        // The version belongs to this connection. A relayed answer in an older one
+        // would have no chunks, and a break would look like its end.
+        *response.version_mut() = Version::HTTP_11;
         let idle_pool = self.idle_pool.clone();
         let keep_alive = keep_alive_timeout(response.headers());
         response.map(|body| {
