Put the files of the log storage behind a trait

Tests can then keep a data folder in a model of the disk, which decides what a loss of power leaves of each write and of each name.

--- a/crates/sequoiawing_consensus/src/lib.rs
+++ b/crates/sequoiawing_consensus/src/lib.rs
@@ -26,7 +26,9 @@
 pub use replica::{Replica, RoleName};
 pub use settings::{ReplicaSettings, Timing};
 pub use snapshot::Snapshot;
-pub use storage::{DiskStorage, Loaded, LogStorage, StorageError, StorageLimits};
+pub use storage::{
+    DiskStorage, Folder, FolderFile, Loaded, LogStorage, StorageError, StorageLimits,
+};
 
 /// The types that most drivers of a replica import.
 pub mod prelude {
--- a/crates/sequoiawing_consensus/src/storage/disk.rs
+++ b/crates/sequoiawing_consensus/src/storage/disk.rs
@@ -1,12 +1,13 @@
 use super::{
-    Loaded, LogStorage, StorageError,
-    folder::Folder,
+    Folder, Loaded, LogStorage, StorageError,
+    data_folder::DataFolder,
+    disk_folder::DiskFolder,
     frame::{self, Kind},
     replay::{Record, Replay},
     segment::{self, ClosedSegment, Segment},
 };
 use crate::{ReplicaId, Snapshot, Write};
-use std::{collections::VecDeque, fs, io, path::Path, sync::Arc};
+use std::{collections::VecDeque, io, path::Path, sync::Arc};
 
 const SNAPSHOT_FILE: &str = "snapshot";
 
@@ -30,7 +31,7 @@
 /// See [docs/design/storage.md](../../../../docs/design/storage.md).
 #[derive(Debug)]
 pub struct DiskStorage {
-    folder: Folder,
+    folder: DataFolder,
     limits: StorageLimits,
     id: ReplicaId,
     closed: VecDeque<ClosedSegment>,
@@ -53,7 +54,22 @@
         new_id: ReplicaId,
         limits: StorageLimits,
     ) -> Result<Self, StorageError> {
-        let folder = Folder::open(path)?;
+        Self::open_folder(Box::new(DiskFolder::open(path)?), new_id, limits)
+    }
+
+    /// Opens a data folder that is kept elsewhere than in the file system of the
+    /// host, for example in the memory of a test.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if durable data is damaged or missing, or if an I/O
+    /// operation fails.
+    pub fn open_folder(
+        folder: Box<dyn Folder>,
+        new_id: ReplicaId,
+        limits: StorageLimits,
+    ) -> Result<Self, StorageError> {
+        let folder = DataFolder::new(folder);
         let known = folder.identity()?;
         let mut storage = Self {
             folder,
@@ -68,7 +84,7 @@
         let has_segments = !storage.segment_numbers()?.is_empty();
         if known.is_some() && !has_segments {
             let problem = "the data folder has an identity, but its log is gone";
-            return Err(StorageError::damaged(path, 0, problem));
+            return Err(StorageError::damaged(storage.folder.path(), 0, problem));
         }
         storage.load()?;
         if known.is_none() {
@@ -112,10 +128,8 @@
 
     fn read_snapshot(&self) -> Result<Option<Arc<Snapshot>>, StorageError> {
         let file = self.folder.file(SNAPSHOT_FILE);
-        let bytes = match fs::read(&file) {
-            Ok(bytes) => bytes,
-            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
-            Err(error) => return Err(StorageError::from_io(&file, error)),
+        let Some(bytes) = self.folder.read(SNAPSHOT_FILE)? else {
+            return Ok(None);
         };
         let damaged = |problem: String| StorageError::damaged(&file, 0, problem);
         let frame = frame::decode(&bytes, 0).filter(|f| f.kind == Kind::Snapshot);
@@ -138,8 +152,7 @@
     /// Closes the open segment and starts the next one.
     fn roll(&mut self) -> Result<(), StorageError> {
         let number = self.open.as_ref().map_or(1, |s| s.number + 1);
-        let path = self.folder.file(&segment::file_name(number));
-        let mut new_segment = Segment::create(path, number)?;
+        let mut new_segment = Segment::create(&self.folder, number)?;
         self.folder.sync()?;
         new_segment.append(&[self.replay.header_record()])?;
         let previous = self.open.replace(new_segment);
@@ -152,8 +165,7 @@
         let index = self.snapshot.as_ref().map_or(0, |s| s.position.index);
         let is_covered = |c: &mut ClosedSegment| c.last <= index;
         while let Some(covered) = self.closed.pop_front_if(is_covered) {
-            let file = self.folder.file(&segment::file_name(covered.number));
-            fs::remove_file(&file).map_err(|e| StorageError::from_io(&file, e))?;
+            self.folder.remove(&segment::file_name(covered.number))?;
             // Syncs after each deletion, so that a crash leaves no gap between
             // segments.
             self.folder.sync()?;
@@ -216,15 +228,18 @@
         self.snapshot = self.read_snapshot()?;
         let numbers = self.segment_numbers()?;
         for (i, number) in numbers.iter().copied().enumerate() {
-            let path = self.folder.file(&segment::file_name(number));
+            let name = segment::file_name(number);
+            let path = self.folder.file(&name);
             if i > 0 && numbers[i - 1] + 1 != number {
                 let problem = format!("segment {} is missing before it", number - 1);
                 return Err(StorageError::damaged(&path, 0, problem));
             }
             let is_last = i + 1 == numbers.len();
-            let scan = segment::scan(&path, is_last, &mut self.replay)?;
+            let bytes = self.folder.read(&name)?;
+            let bytes = bytes.ok_or_else(|| StorageError::damaged(&path, 0, "is gone"))?;
+            let scan = segment::scan(&path, &bytes, is_last, &mut self.replay)?;
             if is_last {
-                self.open = Some(Segment::reopen(path, number, &scan)?);
+                self.open = Some(Segment::reopen(&self.folder, number, &scan)?);
             } else {
                 let last = scan.last;
                 self.closed.push_back(ClosedSegment { number, last });
@@ -233,8 +248,7 @@
         if self.open.is_none() {
             self.roll()?;
         }
-        let folder = self.folder.file("");
         let loaded = self.replay.finish(self.snapshot.clone());
-        loaded.map_err(|problem| StorageError::damaged(&folder, 0, problem))
+        loaded.map_err(|problem| StorageError::damaged(self.folder.path(), 0, problem))
     }
 }
--- a/crates/sequoiawing_consensus/src/storage/folder.rs
+++ b/crates/sequoiawing_consensus/src/storage/folder.rs
@@ -1,98 +1,83 @@
-use super::StorageError;
-use crate::ReplicaId;
-use std::{
-    fs::{self, File, OpenOptions, TryLockError},
-    io::{self, Write as _},
-    path::{Path, PathBuf},
-};
+use std::{fmt::Debug, io, path::Path};
 
-const LOCK_FILE: &str = "lock";
-const IDENTITY_FILE: &str = "identity";
+/// The operations on a data folder that the storage uses.
+///
+/// What an implementation promises after a loss of power is described in
+/// [docs/design/storage.md](../../../../docs/design/storage.md).
+pub trait Folder: Debug + Send {
+    /// Returns the path of the folder, which is named in errors.
+    fn path(&self) -> &Path;
 
-/// A data folder that is locked by this process.
-#[derive(Debug)]
-pub(super) struct Folder {
-    path: PathBuf,
-    /// The lock, which the operating system releases even if the process crashes.
-    _lock: File,
-}
+    /// Returns the names of all files.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the folder cannot be listed.
+    fn names(&self) -> io::Result<Vec<String>>;
+
+    /// Returns the content of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file does not exist or cannot be read.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
 
-impl Folder {
-    /// Opens and locks the folder, and creates it if necessary.
-    pub(super) fn open(path: &Path) -> Result<Self, StorageError> {
-        fs::create_dir_all(path).map_err(|e| StorageError::from_io(path, e))?;
-        let file = path.join(LOCK_FILE);
-        let mut options = OpenOptions::new();
-        let opened = options.create(true).truncate(false).write(true).open(&file);
-        let lock = opened.map_err(|e| StorageError::from_io(&file, e))?;
-        match lock.try_lock() {
-            Ok(()) => Ok(Self {
-                path: path.to_owned(),
-                _lock: lock,
-            }),
-            Err(TryLockError::WouldBlock) => Err(StorageError::InUse {
-                folder: path.to_owned(),
-            }),
-            Err(TryLockError::Error(error)) => Err(StorageError::from_io(&file, error)),
-        }
-    }
+    /// Creates an empty file, in place of an existing one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be created.
+    fn create(&self, name: &str) -> io::Result<Box<dyn FolderFile>>;
 
-    pub(super) fn file(&self, name: &str) -> PathBuf {
-        self.path.join(name)
-    }
+    /// Opens an existing file for writing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file does not exist or cannot be opened.
+    fn open(&self, name: &str) -> io::Result<Box<dyn FolderFile>>;
 
-    /// Returns the names of all files in the folder.
-    pub(super) fn names(&self) -> Result<Vec<String>, StorageError> {
-        let list = || -> io::Result<Vec<String>> {
-            let entries = fs::read_dir(&self.path)?;
-            let name = |e: io::Result<fs::DirEntry>| Ok(e?.file_name().into_string().ok());
-            let names: io::Result<Vec<_>> = entries.map(name).collect();
-            Ok(names?.into_iter().flatten().collect())
-        };
-        list().map_err(|e| StorageError::from_io(&self.path, e))
-    }
+    /// Renames a file, in place of an existing one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be renamed.
+    fn rename(&self, from: &str, to: &str) -> io::Result<()>;
 
-    /// Syncs the directory, so that created, renamed and deleted files are durable.
-    pub(super) fn sync(&self) -> Result<(), StorageError> {
-        let synced = File::open(&self.path).and_then(|f| f.sync_all());
-        synced.map_err(|e| StorageError::from_io(&self.path, e))
-    }
+    /// Removes a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file does not exist or cannot be removed.
+    fn remove(&self, name: &str) -> io::Result<()>;
+
+    /// Makes created, renamed and removed names durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is unknown which names are durable.
+    fn sync(&self) -> io::Result<()>;
+}
 
-    /// Replaces a file atomically: after a crash it has its old or new content.
-    pub(super) fn replace(&self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
-        let temporary = self.file(&format!("{name}.new"));
-        let write = || -> io::Result<()> {
-            let mut file = File::create(&temporary)?;
-            file.write_all(bytes)?;
-            file.sync_all()?;
-            fs::rename(&temporary, self.file(name))
-        };
-        write().map_err(|e| StorageError::from_io(&temporary, e))?;
-        self.sync()
-    }
+/// A file of a [`Folder`] that is open for writing.
+pub trait FolderFile: Debug + Send {
+    /// Writes all bytes at an offset.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes were not all written.
+    fn write_at(&mut self, offset: u64, bytes: &[u8]) -> io::Result<()>;
 
-    /// Returns the identity of the replica, or `None` if the folder is new.
-    pub(super) fn identity(&self) -> Result<Option<ReplicaId>, StorageError> {
-        let file = self.file(IDENTITY_FILE);
-        let text = match fs::read_to_string(&file) {
-            Ok(text) => text,
-            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
-            Err(error) => return Err(StorageError::from_io(&file, error)),
-        };
-        let damaged = || StorageError::damaged(&file, 0, "holds no identity");
-        let (id, sum) = text.trim_end().split_once(' ').ok_or_else(damaged)?;
-        let sum = u32::from_str_radix(sum, 16).map_err(|_| damaged())?;
-        if crc32fast::hash(id.as_bytes()) != sum {
-            return Err(damaged());
-        }
-        let id = u64::from_str_radix(id, 16).map_err(|_| damaged())?;
-        Ok(Some(ReplicaId(id)))
-    }
+    /// Cuts the file off at a length, or extends it by zeros.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the length was not changed.
+    fn set_length(&mut self, length: u64) -> io::Result<()>;
 
-    /// Stores the identity of the replica.
-    pub(super) fn set_identity(&self, id: ReplicaId) -> Result<(), StorageError> {
-        let id = id.to_string();
-        let sum = crc32fast::hash(id.as_bytes());
-        self.replace(IDENTITY_FILE, format!("{id} {sum:08x}\n").as_bytes())
-    }
+    /// Makes the content and length durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is unknown which writes are durable.
+    fn sync(&mut self) -> io::Result<()>;
 }
--- a/crates/sequoiawing_consensus/src/storage/mod.rs
+++ b/crates/sequoiawing_consensus/src/storage/mod.rs
@@ -1,6 +1,8 @@
 //! The durable storage of a replica.
 
+mod data_folder;
 mod disk;
+mod disk_folder;
 mod error;
 mod folder;
 mod frame;
@@ -9,6 +11,7 @@
 
 pub use disk::{DiskStorage, StorageLimits};
 pub use error::StorageError;
+pub use folder::{Folder, FolderFile};
 
 use crate::{Entry, HardState, ReplicaId, Snapshot, Write};
 use std::sync::Arc;
--- a/crates/sequoiawing_consensus/src/storage/segment.rs
+++ b/crates/sequoiawing_consensus/src/storage/segment.rs
@@ -1,11 +1,11 @@
 use super::{
-    StorageError,
+    FolderFile, StorageError,
+    data_folder::DataFolder,
     frame::{self, Kind},
     replay::{Record, Replay},
 };
 use std::{
-    fs::{self, File, OpenOptions},
-    io::{self, Seek, SeekFrom, Write as _},
+    io,
     path::{Path, PathBuf},
 };
 
@@ -36,7 +36,7 @@
 pub(super) struct Segment {
     pub(super) number: u64,
     path: PathBuf,
-    file: File,
+    file: Box<dyn FolderFile>,
     /// The length of the durable frames and their marker, in bytes.
     length: u64,
     /// The highest index of its entries.
@@ -45,35 +45,34 @@
 
 impl Segment {
     /// Creates a new segment file.
-    pub(super) fn create(path: PathBuf, number: u64) -> Result<Self, StorageError> {
-        let mut options = OpenOptions::new();
-        let opened = options.create(true).truncate(true).write(true).open(&path);
-        let file = opened.map_err(|e| StorageError::from_io(&path, e))?;
+    pub(super) fn create(folder: &DataFolder, number: u64) -> Result<Self, StorageError> {
+        let name = file_name(number);
         Ok(Self {
             number,
-            path,
-            file,
+            path: folder.file(&name),
+            file: folder.create(&name)?,
             length: 0,
             last: 0,
         })
     }
 
     /// Reopens the last segment and truncates it after the last intact frame.
-    pub(super) fn reopen(path: PathBuf, number: u64, scan: &Scan) -> Result<Self, StorageError> {
-        let truncate = || -> io::Result<File> {
-            let file = OpenOptions::new().write(true).open(&path)?;
-            file.set_len(scan.length)?;
-            file.sync_all()?;
-            Ok(file)
-        };
-        let file = truncate().map_err(|e| StorageError::from_io(&path, e))?;
+    pub(super) fn reopen(
+        folder: &DataFolder,
+        number: u64,
+        scan: &Scan,
+    ) -> Result<Self, StorageError> {
+        let name = file_name(number);
         let mut segment = Self {
             number,
-            path,
-            file,
+            path: folder.file(&name),
+            file: folder.open(&name)?,
             length: scan.length,
             last: scan.last,
         };
+        let truncated = segment.file.set_length(scan.length);
+        let synced = truncated.and_then(|()| segment.file.sync());
+        synced.map_err(|e| StorageError::from_io(&segment.path, e))?;
         segment.write_marker()?;
         Ok(segment)
     }
@@ -98,12 +97,12 @@
         let content = json.map_err(|e| StorageError::from_io(&self.path, e))?;
         let mut bytes = Vec::with_capacity(content.len() + frame::HEADER_BYTES);
         frame::encode(Kind::Batch, &content, &mut bytes);
-        if let Err(error) = self.write_at(self.length, &bytes) {
-            self.file.set_len(self.length).ok();
+        if let Err(error) = self.file.write_at(self.length, &bytes) {
+            self.file.set_length(self.length).ok();
             return Err(StorageError::from_io(&self.path, error));
         }
         // After a failed sync it is unknown which data is durable.
-        self.file.sync_data().map_err(|source| StorageError::Sync {
+        self.file.sync().map_err(|source| StorageError::Sync {
             file: self.path.clone(),
             source,
         })?;
@@ -117,10 +116,10 @@
     fn write_marker(&mut self) -> Result<(), StorageError> {
         let mut bytes = Vec::new();
         frame::encode(Kind::Marker, &[], &mut bytes);
-        match self.write_at(self.length, &bytes) {
+        match self.file.write_at(self.length, &bytes) {
             Ok(()) => self.length += bytes.len() as u64,
             Err(error) => {
-                self.file.set_len(self.length).ok();
+                self.file.set_length(self.length).ok();
                 if error.kind() != io::ErrorKind::StorageFull {
                     return Err(StorageError::from_io(&self.path, error));
                 }
@@ -128,11 +127,6 @@
         }
         Ok(())
     }
-
-    fn write_at(&mut self, offset: u64, bytes: &[u8]) -> io::Result<()> {
-        self.file.seek(SeekFrom::Start(offset))?;
-        self.file.write_all(bytes)
-    }
 }
 
 /// The result of scanning a segment.
@@ -148,14 +142,18 @@
 ///
 /// Only the last segment may end in a torn frame, that is, in a damaged frame
 /// that no marker follows.
-pub(super) fn scan(path: &Path, is_last: bool, replay: &mut Replay) -> Result<Scan, StorageError> {
-    let bytes = fs::read(path).map_err(|e| StorageError::from_io(path, e))?;
+pub(super) fn scan(
+    path: &Path,
+    bytes: &[u8],
+    is_last: bool,
+    replay: &mut Replay,
+) -> Result<Scan, StorageError> {
     let mut scan = Scan::default();
     let mut offset = 0;
     while offset < bytes.len() {
         let place = offset as u64;
-        let Some(frame) = frame::decode(&bytes, offset) else {
-            if is_last && !frame::has_marker(&bytes, offset + 1) {
+        let Some(frame) = frame::decode(bytes, offset) else {
+            if is_last && !frame::has_marker(bytes, offset + 1) {
                 break;
             }
             let problem = "a synced frame does not match its checksum";
