Log what a controller finds on its disk, and where damage lies

A damaged frame is reported with how much of the segment is left and whether it is the newest one, so that a torn marker and a damaged batch can be told apart.

--- a/crates/sequoiawing_consensus/src/storage/disk.rs
+++ b/crates/sequoiawing_consensus/src/storage/disk.rs
@@ -155,8 +155,15 @@
         let mut new_segment = Segment::create(&self.folder, number)?;
         self.folder.sync()?;
         new_segment.append(&[self.replay.header_record()])?;
-        let previous = self.open.replace(new_segment);
-        self.closed.extend(previous.map(Segment::close));
+        if let Some(previous) = self.open.replace(new_segment) {
+            let bytes = previous.length();
+            let closed = previous.close();
+            log::info!(
+                target: "storage", segment = closed.number, bytes = bytes, last = closed.last;
+                "Segment closed."
+            );
+            self.closed.push_back(closed);
+        }
         Ok(())
     }
 
@@ -164,12 +171,18 @@
     fn delete_covered(&mut self) -> Result<(), StorageError> {
         let index = self.snapshot.as_ref().map_or(0, |s| s.position.index);
         let is_covered = |c: &mut ClosedSegment| c.last <= index;
+        let mut deleted = 0;
         while let Some(covered) = self.closed.pop_front_if(is_covered) {
             self.folder.remove(&segment::file_name(covered.number))?;
             // Syncs after each deletion, so that a crash leaves no gap between
             // segments.
             self.folder.sync()?;
+            deleted += 1;
         }
+        log::info!(
+            target: "storage", snapshot = index, deleted = deleted, kept = self.closed.len();
+            "Segments before the snapshot deleted."
+        );
         self.replay.compact(index);
         Ok(())
     }
@@ -227,6 +240,7 @@
         self.open = None;
         self.snapshot = self.read_snapshot()?;
         let numbers = self.segment_numbers()?;
+        let (mut size, mut cut_off) = (0, 0);
         for (i, number) in numbers.iter().copied().enumerate() {
             let name = segment::file_name(number);
             let path = self.folder.file(&name);
@@ -237,8 +251,10 @@
             let is_last = i + 1 == numbers.len();
             let bytes = self.folder.read(&name)?;
             let bytes = bytes.ok_or_else(|| StorageError::damaged(&path, 0, "is gone"))?;
+            size += bytes.len();
             let scan = segment::scan(&path, &bytes, is_last, &mut self.replay)?;
             if is_last {
+                cut_off = bytes.len() as u64 - scan.length;
                 self.open = Some(Segment::reopen(&self.folder, number, &scan)?);
             } else {
                 let last = scan.last;
@@ -249,6 +265,15 @@
             self.roll()?;
         }
         let loaded = self.replay.finish(self.snapshot.clone());
-        loaded.map_err(|problem| StorageError::damaged(self.folder.path(), 0, problem))
+        let loaded =
+            loaded.map_err(|problem| StorageError::damaged(self.folder.path(), 0, problem))?;
+        log::info!(
+            target: "storage", segments = numbers.len(), bytes = size, cut_off = cut_off,
+            snapshot = loaded.snapshot.as_ref().map(|s| s.position.index),
+            entries = loaded.entries.len(), commit = loaded.commit,
+            term = loaded.hard_state.term;
+            "Log loaded."
+        );
+        Ok(loaded)
     }
 }
--- a/crates/sequoiawing_consensus/src/storage/segment.rs
+++ b/crates/sequoiawing_consensus/src/storage/segment.rs
@@ -156,7 +156,12 @@
             if is_last && !frame::has_marker(bytes, offset + 1) {
                 break;
             }
-            let problem = "a synced frame does not match its checksum";
+            let (rest, size) = (bytes.len() - offset, bytes.len());
+            let age = if is_last { "newest" } else { "closed" };
+            let problem = format!(
+                "a synced frame does not match its checksum; {rest} of {size} bytes of the \
+                 {age} segment are left"
+            );
             return Err(StorageError::damaged(path, place, problem));
         };
         if frame.kind == Kind::Batch {
