--- a/crates/sequoiawing_consensus/tests/storage.rs
+++ b/crates/sequoiawing_consensus/tests/storage.rs
@@ -228,6 +228,55 @@
     assert!(matches!(folder.open(), Err(StorageError::Damaged { .. })));
 }
 
+/// Closes several segments, lets `change` alter the end of the last closed one, and
+/// returns what is loaded afterwards.
+fn load_with_changed_marker<F>(name: &str, change: F) -> Loaded
+where
+    F: Fn(&mut Vec<u8>),
+{
+    let folder = Folder::new(name);
+    let mut storage = folder.open().expect("a new folder must open");
+    storage.write(&[founded()]).expect("the write must succeed");
+    for index in 1..=200 {
+        let write = append(vec![entry(index, 1)]);
+        storage.write(&[write]).expect("the write must succeed");
+    }
+    drop(storage);
+    let segments = folder.segments();
+    let closed = &segments[segments.len() - 2];
+    let mut bytes = fs::read(closed).expect("the file must be readable");
+    change(&mut bytes);
+    fs::write(closed, bytes).expect("the file must be writable");
+    folder.load()
+}
+
+macro_rules! closed_segments {
+    ($($name:ident: $change:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let loaded = load_with_changed_marker(stringify!($name), $change);
+            assert_eq!(loaded.entries.len(), 200);
+        }
+    )*};
+}
+
+// Guard against controllers that never start again because a loss of power tore the
+// marker at the end of a closed segment.
+closed_segments! {
+    a_closed_segment_may_lack_its_last_byte: |b| b.truncate(b.len() - 1);
+    a_closed_segment_may_lack_half_of_its_marker: |b| b.truncate(b.len() - 6);
+    a_closed_segment_may_have_one_byte_of_its_marker: |b| b.truncate(b.len() - 11);
+    a_closed_segment_may_lack_its_marker: |b| b.truncate(b.len() - 12);
+    a_closed_segment_may_end_in_zeros: |b| {
+        let marker = b.len() - 12;
+        b[marker..].fill(0);
+    };
+    a_closed_segment_may_end_in_a_marker_of_half_zeros: |b| {
+        let half = b.len() - 5;
+        b[half..].fill(0);
+    };
+}
+
 #[test]
 fn a_log_without_its_identity_is_reported() {
     let folder = Folder::new("no-identity");
