Let a closed segment end in a torn marker

Callers saw CONFIG broken: after a loss of power controllers ended with code 1 at each start, up to all three, so that the configuration could not be read back.

Cause: a marker is written after each synced batch and is made durable by the next batch's sync. A closed segment gets no next batch: its last marker stays unsynced for as long as the segment exists, and a loss of power hours later may leave a part of it. The reader took any damage in a closed segment for damage of a synced batch. The class of fault: a reader that requires of bytes what no sync has promised.

The reader now allows at most the bytes of one marker after the last intact batch of a closed segment, which is all that can be unsynced there, since each batch returned from its sync before the segment was closed. Longer damage is reported as before; folders that a loss of power has left like that open again. No write or sync is added.

--- a/crates/sequoiawing_consensus/src/storage/segment.rs
+++ b/crates/sequoiawing_consensus/src/storage/segment.rs
@@ -140,8 +140,9 @@
 
 /// Applies the records of a segment to `replay`.
 ///
-/// Only the last segment may end in a torn frame, that is, in a damaged frame
-/// that no marker follows.
+/// The last segment may end in a torn batch, that is, in a damaged frame that no
+/// marker follows. The batches of the other segments are durable, but not their last
+/// markers, which no sync follows.
 pub(super) fn scan(
     path: &Path,
     bytes: &[u8],
@@ -153,7 +154,12 @@
     while offset < bytes.len() {
         let place = offset as u64;
         let Some(frame) = frame::decode(bytes, offset) else {
-            if is_last && !frame::has_marker(bytes, offset + 1) {
+            let is_torn = if is_last {
+                !frame::has_marker(bytes, offset + 1)
+            } else {
+                bytes.len() - offset <= frame::HEADER_BYTES
+            };
+            if is_torn {
                 break;
             }
             let (rest, size) = (bytes.len() - offset, bytes.len());
