--- a/crates/sequoiawing_consensus/src/storage/disk.rs
+++ b/crates/sequoiawing_consensus/src/storage/disk.rs
@@ -38,6 +38,9 @@
     open: Option<Segment>,
     replay: Replay,
     snapshot: Option<Arc<Snapshot>>,
+    /// Whether the segments hold entries that do not continue the snapshot, which
+    /// the next write must discard.
+    is_reset_due: bool,
     /// Whether a sync has failed, after which all writes are refused.
     is_failed: bool,
 }
@@ -79,6 +82,7 @@
             open: None,
             replay: Replay::default(),
             snapshot: None,
+            is_reset_due: false,
             is_failed: false,
         };
         let has_segments = !storage.segment_numbers()?.is_empty();
@@ -195,7 +199,9 @@
         if let Some(snapshot) = snapshot {
             self.save_snapshot(snapshot)?;
         }
-        let records: Vec<_> = writes.iter().map(Record::from).collect();
+        let reset = self.is_reset_due.then(Record::reset);
+        let records = reset.into_iter().chain(writes.iter().map(Record::from));
+        let records: Vec<_> = records.collect();
         if self
             .open
             .as_ref()
@@ -206,6 +212,7 @@
         if let Some(open) = &mut self.open {
             open.append(&records)?;
         }
+        self.is_reset_due = false;
         for record in records {
             self.replay.apply(record).map_err(|problem| {
                 let file = self.folder.file(SNAPSHOT_FILE);
@@ -264,14 +271,16 @@
         if self.open.is_none() {
             self.roll()?;
         }
+        let base = self.snapshot.as_ref().map(|s| s.position);
+        let discarded = self.replay.discard_foreign(base.unwrap_or_default());
+        self.is_reset_due =
+            discarded.map_err(|problem| StorageError::damaged(self.folder.path(), 0, problem))?;
         let loaded = self.replay.finish(self.snapshot.clone());
-        let loaded =
-            loaded.map_err(|problem| StorageError::damaged(self.folder.path(), 0, problem))?;
         log::info!(
             target: "storage", segments = numbers.len(), bytes = size, cut_off = cut_off,
             snapshot = loaded.snapshot.as_ref().map(|s| s.position.index),
             entries = loaded.entries.len(), commit = loaded.commit,
-            term = loaded.hard_state.term;
+            term = loaded.hard_state.term, discarded = self.is_reset_due;
             "Log loaded."
         );
         Ok(loaded)
--- a/crates/sequoiawing_consensus/src/storage/replay.rs
+++ b/crates/sequoiawing_consensus/src/storage/replay.rs
@@ -1,5 +1,5 @@
 use super::Loaded;
-use crate::{Entry, HardState, ReplicaId, Snapshot, Write};
+use crate::{Entry, HardState, Position, ReplicaId, Snapshot, Write};
 use serde::{Deserialize, Serialize};
 use std::{collections::VecDeque, sync::Arc};
 
@@ -42,6 +42,16 @@
     entries: VecDeque<Entry>,
 }
 
+impl Record {
+    /// Returns a record that discards all entries before it.
+    pub(super) fn reset() -> Self {
+        Self {
+            reset: true,
+            ..Self::default()
+        }
+    }
+}
+
 impl Replay {
     /// Returns the first record of a new segment.
     ///
@@ -102,19 +112,16 @@
         }
     }
 
-    /// Returns the state that a replica starts from.
-    ///
-    /// If the entries do not continue the snapshot, the snapshot replaced them, and
-    /// they are omitted.
+    /// Removes all entries if they do not continue a snapshot, because a crash
+    /// interrupted its installation. Returns whether they were removed.
     ///
     /// # Errors
     ///
     /// Returns a description if entries after the snapshot are missing.
-    pub(super) fn finish(&self, snapshot: Option<Arc<Snapshot>>) -> Result<Loaded, String> {
-        let base = snapshot.as_ref().map(|s| s.position).unwrap_or_default();
+    pub(super) fn discard_foreign(&mut self, base: Position) -> Result<bool, String> {
         let at_base = self.entries.iter().find(|e| e.index == base.index);
         let first = self.entries.front().map_or(base.index + 1, |e| e.index);
-        let fits = match at_base {
+        let continues = match at_base {
             Some(entry) => entry.term == base.term,
             None => first == base.index + 1,
         };
@@ -125,7 +132,16 @@
                 first - 1
             ));
         }
-        let after = self.entries.iter().filter(|e| fits && e.index > base.index);
+        if !continues {
+            self.entries.clear();
+        }
+        Ok(!continues)
+    }
+
+    /// Returns the state that a replica starts from.
+    pub(super) fn finish(&self, snapshot: Option<Arc<Snapshot>>) -> Loaded {
+        let base = snapshot.as_ref().map(|s| s.position).unwrap_or_default();
+        let after = self.entries.iter().filter(|e| e.index > base.index);
         let entries: Vec<_> = after.cloned().collect();
         let last = base.index + entries.len() as u64;
         let mut hard_state = self.hard_state;
@@ -137,12 +153,12 @@
                 vote: None,
             };
         }
-        Ok(Loaded {
+        Loaded {
             hard_state,
             promised_to: self.promised_to,
             commit: self.commit.clamp(base.index, last),
             snapshot,
             entries,
-        })
+        }
     }
 }
