Sync the data folder before relying on the names in it

The folder is now synced when it is opened and at each load, before anything that is read there is acted on. It costs two syncs at a start.

--- a/crates/sequoiawing_consensus/src/storage/disk.rs
+++ b/crates/sequoiawing_consensus/src/storage/disk.rs
@@ -73,6 +73,8 @@
         limits: StorageLimits,
     ) -> Result<Self, StorageError> {
         let folder = DataFolder::new(folder);
+        // A former process may have ended before it synced a name.
+        folder.sync()?;
         let known = folder.identity()?;
         let mut storage = Self {
             folder,
@@ -245,6 +247,8 @@
         self.replay = Replay::default();
         self.closed.clear();
         self.open = None;
+        // What is read here is relied on, also if an earlier sync of its name failed.
+        self.folder.sync()?;
         self.snapshot = self.read_snapshot()?;
         let numbers = self.segment_numbers()?;
         let (mut size, mut cut_off) = (0, 0);
