Remove what an interrupted replacement of a file has left

A loss of power may keep a file under its former, temporary name beside its new one.

Temporary files are now removed when the log is loaded, so that each replacement writes a file of its own. That also frees their room on a full disk.

--- a/crates/sequoiawing_consensus/src/storage/data_folder.rs
+++ b/crates/sequoiawing_consensus/src/storage/data_folder.rs
@@ -7,6 +7,9 @@
 
 const IDENTITY_FILE: &str = "identity";
 
+/// The suffix of the file that is written before it replaces another one.
+const TEMPORARY_SUFFIX: &str = ".new";
+
 /// The data folder of a replica; its errors name the file that they concern.
 #[derive(Debug)]
 pub(super) struct DataFolder {
@@ -68,7 +71,7 @@
 
     /// Replaces a file atomically: after a crash it has its old or new content.
     pub(super) fn replace(&self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
-        let temporary = format!("{name}.new");
+        let temporary = format!("{name}{TEMPORARY_SUFFIX}");
         let write = || -> io::Result<()> {
             let mut file = self.folder.create(&temporary)?;
             file.write_at(0, bytes)?;
@@ -79,6 +82,16 @@
         self.sync()
     }
 
+    /// Removes the files that an interrupted replacement has left.
+    ///
+    /// After a loss of power such a file may be the replaced one under its former
+    /// name, so it must not be written to again.
+    pub(super) fn remove_temporary_files(&self) -> Result<(), StorageError> {
+        let names = self.names()?;
+        let mut temporary = names.iter().filter(|n| n.ends_with(TEMPORARY_SUFFIX));
+        temporary.try_for_each(|name| self.remove(name))
+    }
+
     /// Returns the identity of the replica, or `None` if the folder is new.
     pub(super) fn identity(&self) -> Result<Option<ReplicaId>, StorageError> {
         let Some(bytes) = self.read(IDENTITY_FILE)? else {
--- a/crates/sequoiawing_consensus/src/storage/disk.rs
+++ b/crates/sequoiawing_consensus/src/storage/disk.rs
@@ -249,6 +249,7 @@
         self.open = None;
         // What is read here is relied on, also if an earlier sync of its name failed.
         self.folder.sync()?;
+        self.folder.remove_temporary_files()?;
         self.snapshot = self.read_snapshot()?;
         let numbers = self.segment_numbers()?;
         let (mut size, mut cut_off) = (0, 0);
