Add a module that shares an upstream's rate over all hosts

Nothing uses it yet. One issuer grants tokens to the hosts that have requests, by cumulative counters, so that lost, repeated and late messages neither create nor lose tokens; what a host does not use for a second it returns. A new issuer starts in debt by what its predecessor may have granted. Without an issuer each host uses an equal share.

--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -14,6 +14,7 @@
 mod retry_window;
 mod shared_bucket;
 mod upstream;
+mod upstream_limit;
 
 pub use balancer::{
     Assignment, AttemptOutcome, Balancer, BalancerRequest, PickResult, UpstreamKey,
@@ -31,3 +32,7 @@
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use shared_bucket::{PeerView, SharedTokenBucket};
 pub use upstream::ReportedLoad;
+pub use upstream_limit::{
+    GrantedTokens, LimitReport, LimitedUpstream, NamedLimit, NamedRate, RequestRate, TokenHolder,
+    TokenIssuer, TokenReport,
+};
--- /dev/null
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/holder.rs
@@ -0,0 +1,146 @@
+use super::{
+    RequestRate,
+    rate::{MICRO, earned},
+};
+use sequoiawing_types::Time;
+use std::time::Duration;
+
+/// How long the demand of a host counts after a request, and how long a token is kept
+/// without one.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+
+/// How long a host trusts in its issuer without a grant from it. By then it uses an
+/// equal share of the rate.
+const ISSUER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// What a host reports of its tokens for one upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TokenReport {
+    /// The issuer of the tokens.
+    pub term: u64,
+    /// The tokens that the host has used, in total.
+    pub used: u64,
+    /// The tokens that the host has returned unused, in total.
+    pub returned: u64,
+    /// The number of tokens that the host would use now.
+    pub wanted: u32,
+}
+
+/// The tokens of one host for one upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenHolder {
+    term: u64,
+    granted: u64,
+    used: u64,
+    returned: u64,
+    /// The requests in the current window, and in the one before.
+    demand: (u32, u32),
+    window_start: Time,
+    /// When the issuer was last heard.
+    issuer_heard: Option<Time>,
+    /// The micro-tokens of the equal share that is used without an issuer.
+    own_share: i128,
+    own_share_at: Time,
+}
+
+impl TokenHolder {
+    /// Returns a holder without tokens.
+    pub fn new(now: Time) -> Self {
+        Self {
+            term: 0,
+            granted: 0,
+            used: 0,
+            returned: 0,
+            demand: (0, 0),
+            window_start: now,
+            issuer_heard: None,
+            own_share: 0,
+            own_share_at: now,
+        }
+    }
+
+    /// Applies a grant of the issuer of a term: the tokens granted to this host in total.
+    ///
+    /// Tokens of an earlier issuer are dropped, and its late grants are ignored.
+    pub fn apply_grant(&mut self, now: Time, term: u64, granted: u64) {
+        if term < self.term {
+            return;
+        }
+        if term > self.term {
+            self.term = term;
+            self.granted = 0;
+            self.used = 0;
+            self.returned = 0;
+        }
+        self.granted = self.granted.max(granted);
+        self.issuer_heard = Some(now);
+    }
+
+    /// Records that the issuer of a term is in touch but has granted nothing.
+    pub fn hear_issuer(&mut self, now: Time, term: u64) {
+        self.apply_grant(now, term, 0);
+    }
+
+    /// Returns whether a request may be sent now; `hosts` share the rate if there is no
+    /// issuer.
+    pub fn has_token(&mut self, now: Time, rate: RequestRate, hosts: u32) -> bool {
+        self.earn_share(now, rate, hosts);
+        self.unused() > 0 || self.own_share >= MICRO
+    }
+
+    /// Takes a token for a request.
+    pub fn take(&mut self, now: Time) {
+        self.record_demand(now);
+        if self.unused() > 0 {
+            self.used += 1;
+        } else {
+            self.own_share -= MICRO;
+        }
+    }
+
+    /// Records a request that found no token.
+    pub fn record_demand(&mut self, now: Time) {
+        self.roll(now);
+        self.demand.0 = self.demand.0.saturating_add(1);
+    }
+
+    fn unused(&self) -> u64 {
+        self.granted.saturating_sub(self.used + self.returned)
+    }
+
+    /// Returns the tokens that are not needed to the issuer, and what it should know.
+    pub fn report(&mut self, now: Time) -> TokenReport {
+        self.roll(now);
+        let wanted = self.demand.0.max(self.demand.1);
+        self.returned += self.unused().saturating_sub(u64::from(wanted));
+        TokenReport {
+            term: self.term,
+            used: self.used,
+            returned: self.returned,
+            wanted,
+        }
+    }
+
+    /// Earns this host's share while the issuer is silent.
+    fn earn_share(&mut self, now: Time, rate: RequestRate, hosts: u32) {
+        let span = now.since(self.own_share_at);
+        self.own_share_at = self.own_share_at.max(now);
+        let is_heard = |at: Time| now.since(at) <= ISSUER_TIMEOUT;
+        if self.issuer_heard.is_some_and(is_heard) {
+            self.own_share = 0;
+            return;
+        }
+        let share = earned(rate.effective(), span) / i128::from(hosts.max(1));
+        self.own_share = (self.own_share + share).min(MICRO);
+    }
+
+    fn roll(&mut self, now: Time) {
+        let passed = now.since(self.window_start);
+        if passed < DEMAND_WINDOW {
+            return;
+        }
+        let is_next = passed < DEMAND_WINDOW * 2;
+        self.demand = (0, if is_next { self.demand.0 } else { 0 });
+        self.window_start = now;
+    }
+}
--- /dev/null
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
@@ -0,0 +1,292 @@
+use super::{
+    RequestRate, TokenReport,
+    rate::{MICRO, earned},
+};
+use crate::serving::PeerView;
+use sequoiawing_types::{Name, Time};
+use std::{collections::BTreeMap, time::Duration};
+
+/// How long the tokens of a host that is not heard count as usable. A crashed host is
+/// restarted or replaced within this time.
+const ACCOUNT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The tokens that hosts may hold at any rate, in micro-tokens: a few of them can then
+/// send their next request at once.
+const BURST: i128 = 3 * MICRO;
+
+/// The span whose tokens hosts may hold beyond [`BURST`]. A token that was used is granted
+/// anew only after the reports of a few hubs have reached the issuer.
+const BURST_SPAN: Duration = Duration::from_millis(1_500);
+
+/// How long a limit is kept that no host has reported.
+const LIMIT_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// What one host reports of one upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LimitReport {
+    /// The upstream.
+    pub upstream: Name,
+    /// The start of the upstream.
+    pub epoch: u64,
+    /// What its last answer to the host said; `None` if there was no answer.
+    pub named: Option<NamedRate>,
+    /// The tokens of the host.
+    pub tokens: TokenReport,
+}
+
+/// What an answer of an upstream said of its limit.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct NamedRate {
+    /// The limit; `None` if it named none.
+    pub rate: Option<RequestRate>,
+    /// When the answer arrived.
+    pub observed: Time,
+}
+
+/// The tokens that a host has been granted for an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GrantedTokens {
+    /// The host.
+    pub host: Name,
+    /// The run of the host's process.
+    pub incarnation: u64,
+    /// The tokens, in total since the issuer's start.
+    pub granted: u64,
+}
+
+/// An upstream that names a limit, or named one lately.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LimitedUpstream {
+    /// The upstream.
+    pub upstream: Name,
+    /// Its start.
+    pub epoch: u64,
+    /// The limit that it named last; `None` if it has been withdrawn.
+    pub named: NamedRate,
+    /// The number of requests that hosts want to send beyond their tokens.
+    pub unmet: u32,
+    /// The tokens of the hosts.
+    pub grants: Vec<GrantedTokens>,
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    incarnation: u64,
+    granted: u64,
+    used: u64,
+    returned: u64,
+    wanted: u32,
+    heard: Time,
+    /// The turn in which it was last granted a token.
+    turn: u64,
+}
+
+impl Account {
+    fn new(incarnation: u64, now: Time) -> Self {
+        Self {
+            incarnation,
+            granted: 0,
+            used: 0,
+            returned: 0,
+            wanted: 0,
+            heard: now,
+            turn: 0,
+        }
+    }
+
+    fn unused(&self) -> u64 {
+        self.granted.saturating_sub(self.used + self.returned)
+    }
+
+    fn unmet(&self) -> u64 {
+        u64::from(self.wanted).saturating_sub(self.unused())
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Limit {
+    epoch: u64,
+    named: NamedRate,
+    reported: Time,
+    /// The micro-tokens that may be granted.
+    credit: i128,
+    updated: Time,
+    turn: u64,
+    accounts: BTreeMap<Name, Account>,
+}
+
+impl Limit {
+    /// Returns the tokens that hosts may use at once, in micro-tokens.
+    fn burst(rate: RequestRate) -> i128 {
+        BURST + earned(rate.effective(), BURST_SPAN)
+    }
+
+    /// Returns the tokens that hosts hold, in micro-tokens.
+    fn unused(&self) -> i128 {
+        let unused = self.accounts.values().map(Account::unused);
+        i128::from(unused.sum::<u64>()) * MICRO
+    }
+
+    fn advance(&mut self, now: Time, view: PeerView) -> bool {
+        let span = now.since(self.updated);
+        self.updated = self.updated.max(now);
+        let kept = |a: &mut Account| now.since(a.heard) <= ACCOUNT_TIMEOUT;
+        self.accounts.retain(|_, account| kept(account));
+        let Some(rate) = self.named.rate else {
+            return false;
+        };
+        // Hosts that are out of touch use their equal share.
+        let hosts = i128::from(view.hosts.max(1));
+        let connected = (hosts - i128::from(view.missing)).max(0);
+        let unused = self.unused();
+        let room = Self::burst(rate) - unused;
+        self.credit += earned(rate.effective(), span) * connected / hosts;
+        self.credit = self.credit.min(room);
+        let mut has_granted = false;
+        while self.credit >= MICRO && self.grant_next() {
+            self.credit -= MICRO;
+            has_granted = true;
+        }
+        has_granted
+    }
+
+    /// Grants a token to the host that has waited longest; returns whether one wants it.
+    fn grant_next(&mut self) -> bool {
+        let wanting = self.accounts.values_mut().filter(|a| a.unmet() > 0);
+        let Some(account) = wanting.min_by_key(|a| a.turn) else {
+            return false;
+        };
+        self.turn += 1;
+        account.turn = self.turn;
+        account.granted += 1;
+        true
+    }
+
+    fn describe(&self, upstream: &Name) -> LimitedUpstream {
+        let unmet: u64 = self.accounts.values().map(Account::unmet).sum();
+        let grants = self.accounts.iter().map(|(host, account)| GrantedTokens {
+            host: host.clone(),
+            incarnation: account.incarnation,
+            granted: account.granted,
+        });
+        LimitedUpstream {
+            upstream: upstream.clone(),
+            epoch: self.epoch,
+            named: self.named,
+            unmet: u32::try_from(unmet).unwrap_or(u32::MAX),
+            grants: grants.collect(),
+        }
+    }
+}
+
+/// Grants tokens to the hosts that send requests to limited upstreams.
+///
+/// The tokens that hosts hold and those that may be granted at once are bounded. So a
+/// window of any length has at most 3 requests and 1.5 seconds' worth of them beyond the
+/// rate, whatever is delayed or lost.
+#[derive(Clone, Debug, Default)]
+pub struct TokenIssuer {
+    term: u64,
+    limits: BTreeMap<Name, Limit>,
+}
+
+impl TokenIssuer {
+    /// Returns the term of the issuer.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Starts to issue tokens in a new term.
+    ///
+    /// Hosts may still hold tokens of the last issuer, so that nothing is granted until
+    /// these would have been granted again.
+    pub fn set_term(&mut self, now: Time, term: u64) {
+        if term == self.term {
+            return;
+        }
+        self.term = term;
+        for limit in self.limits.values_mut() {
+            limit.accounts.clear();
+            limit.credit = -limit.named.rate.map_or(0, Limit::burst);
+            limit.updated = now;
+        }
+    }
+
+    /// Records the report of a host that was sent `age` ago.
+    pub fn record(&mut self, now: Time, host: (&Name, u64), age: Duration, report: &LimitReport) {
+        let known = self.limits.get(&report.upstream);
+        if known.is_some_and(|limit| limit.epoch > report.epoch) {
+            return;
+        }
+        if known.is_none_or(|limit| limit.epoch < report.epoch) {
+            let Some(named) = report.named.filter(|n| n.rate.is_some()) else {
+                self.limits.remove(&report.upstream);
+                return;
+            };
+            let limit = Limit {
+                epoch: report.epoch,
+                named,
+                reported: now,
+                credit: 0,
+                updated: now,
+                turn: 0,
+                accounts: BTreeMap::new(),
+            };
+            self.limits.insert(report.upstream.clone(), limit);
+        }
+        let Some(limit) = self.limits.get_mut(&report.upstream) else {
+            return;
+        };
+        if let Some(named) = report.named
+            && named.observed >= limit.named.observed
+        {
+            limit.named = named;
+        }
+        limit.reported = now;
+        let (name, incarnation) = host;
+        let account = limit.accounts.entry(name.clone());
+        let account = account.or_insert_with(|| Account::new(incarnation, now));
+        if incarnation < account.incarnation {
+            return;
+        }
+        if incarnation > account.incarnation {
+            *account = Account::new(incarnation, now);
+        }
+        let heard = Time::ZERO + now.since(Time::ZERO + age);
+        if heard >= account.heard {
+            account.heard = heard;
+            account.wanted = report.tokens.wanted;
+        }
+        if report.tokens.term == self.term {
+            account.used = account.used.max(report.tokens.used);
+            let returned = report.tokens.returned.saturating_sub(account.returned);
+            account.returned += returned;
+            // What was never used may be granted again.
+            limit.credit += i128::from(returned) * MICRO;
+        }
+    }
+
+    /// Grants the tokens that are due; returns whether any were granted.
+    pub fn advance(&mut self, now: Time, view: PeerView) -> bool {
+        self.limits
+            .retain(|_, limit| now.since(limit.reported) <= LIMIT_TIMEOUT);
+        let mut has_granted = false;
+        for limit in self.limits.values_mut() {
+            has_granted |= limit.advance(now, view);
+        }
+        has_granted
+    }
+
+    /// Returns the limited upstreams with the tokens of all hosts.
+    pub fn limits(&self) -> Vec<LimitedUpstream> {
+        let limits = self.limits.iter();
+        limits.map(|(name, limit)| limit.describe(name)).collect()
+    }
+}
+
+impl LimitedUpstream {
+    /// Returns when the upstream can be expected to accept another request.
+    pub fn retry_after(rate: RequestRate, unmet: u32) -> Duration {
+        rate.time_for(u64::from(unmet) + 1)
+    }
+}
