--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -130,6 +130,9 @@
     if let Some(load) = head.load {
         slot.report_load(load);
     }
+    if !matches!(head.kind, ResponseKind::Foreign | ResponseKind::Elsewhere) {
+        slot.observe_limit(head.limit);
+    }
     match head.kind {
         ResponseKind::Answer => slot.begun = Some(state.now()),
         ResponseKind::Foreign => {
--- a/crates/sequoiawing_gateway/src/dialect.rs
+++ b/crates/sequoiawing_gateway/src/dialect.rs
@@ -1,6 +1,6 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use sequoiawing_http::Body;
-use sequoiawing_policy::serving::{PromptPart, ReportedLoad};
+use sequoiawing_policy::serving::{PromptPart, ReportedLoad, RequestRate};
 use sequoiawing_router::Refused;
 use sequoiawing_types::Name;
 use std::{sync::Arc, time::Duration};
@@ -82,6 +82,9 @@
     pub kind: ResponseKind,
     /// The load that the upstream reported.
     pub load: Option<ReportedLoad>,
+    /// The rate of requests that the upstream accepts from all hosts together; `None`
+    /// if it names no limit.
+    pub limit: Option<RequestRate>,
 }
 
 /// Converts between HTTP headers and this crate's types.
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -3,7 +3,7 @@
 use crate::{GatewayExchange, GatewayState, state::DemandEvent};
 use futures_lite::FutureExt;
 use sequoiawing_policy::serving::{
-    Assignment, AttemptOutcome, BalancerRequest, PickResult, ReportedLoad,
+    Assignment, AttemptOutcome, BalancerRequest, PickResult, ReportedLoad, RequestRate,
 };
 use sequoiawing_router::{Code, Refused};
 use sequoiawing_runtime::sleep;
@@ -62,6 +62,21 @@
         self.state.report_load(&self.assignment, load);
     }
 
+    /// Records the limit that the upstream named in its answer.
+    pub(crate) fn observe_limit(&self, limit: Option<RequestRate>) {
+        let now = self.state.now();
+        let mut balancer = self.state.balancer.lock();
+        let has_changed = balancer.observe_limit(now, self.assignment.key, self.assigned, limit);
+        drop(balancer);
+        if has_changed {
+            log::info!(
+                target: "gateway", upstream = self.upstream().as_str(),
+                start = self.assignment.epoch, limit = limit.map(|l| l.to_string());
+                "Limit of the upstream changed."
+            );
+        }
+    }
+
     /// Releases the slot with the outcome of the request.
     pub(crate) fn release(mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -1,4 +1,4 @@
-use super::{PromptPart, ReportedLoad, upstream::Upstream};
+use super::{PromptPart, ReportedLoad, RequestRate, upstream::Upstream};
 use sequoiawing_fleet::{RosterEntry, UpstreamState};
 use sequoiawing_types::{Name, Time};
 use slotmap::{SlotMap, new_key_type};
@@ -293,6 +293,19 @@
         }
     }
 
+    /// Applies the limit named in an answer to a request that was sent at `sent`;
+    /// returns whether the limit changed.
+    pub fn observe_limit(
+        &mut self,
+        now: Time,
+        key: UpstreamKey,
+        sent: Time,
+        rate: Option<RequestRate>,
+    ) -> bool {
+        let upstream = self.upstreams.get_mut(key);
+        upstream.is_some_and(|upstream| upstream.limit.observe(now, sent, rate))
+    }
+
     /// Records that an upstream is silent while a request waits for it, or that
     /// it has gone on.
     pub fn set_responsive(&mut self, now: Time, key: UpstreamKey, is_responsive: bool) {
--- a/crates/sequoiawing_policy/src/serving/upstream.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream.rs
@@ -1,4 +1,4 @@
-use super::PrefixCache;
+use super::{NamedLimit, PrefixCache};
 use sequoiawing_fleet::UpstreamState;
 use sequoiawing_types::Time;
 use std::{sync::Arc, time::Duration};
@@ -57,6 +57,8 @@
     /// The moving average of failed requests, from 0 to 1.
     failure_rate: f64,
     pub(super) prefixes: PrefixCache,
+    /// The limit that it names in its answers.
+    pub(super) limit: NamedLimit,
 }
 
 impl Upstream {
@@ -73,6 +75,7 @@
             reached_at: None,
             failure_rate: 0.0,
             prefixes: PrefixCache::new(cache_tokens),
+            limit: NamedLimit::default(),
         }
     }
 
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/rate.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/rate.rs
@@ -1,5 +1,8 @@
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{
+    fmt::{self, Display, Formatter},
+    time::Duration,
+};
 
 /// The micro-tokens in a token.
 pub(super) const MICRO: i128 = 1_000_000;
@@ -46,6 +49,12 @@
     }
 }
 
+impl Display for RequestRate {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}/s", self.milli / 1_000, self.milli % 1_000)
+    }
+}
+
 /// Returns the micro-tokens that a rate in thousandths per second yields in a span.
 pub(super) fn earned(milli: u64, span: Duration) -> i128 {
     let micros = i128::try_from(span.as_micros()).unwrap_or(i128::MAX >> 64);
