Keep the limits that upstreams name over all gateways

Callers of other deployments saw LIMIT broken: upstreams in need got 85 requests in 4 s for 40 allowed and 34 for 19, more than before they had asked for less.

Cause: no host knew the limit. The class of fault: something that an upstream says of itself is not read, and would have been acted on by each host alone.

A gateway sends a request to a limited upstream only with a token, at first attempts, retries, hedges and resumed streams alike, since all pass the balancer. Gateways report their tokens and what they want to the hubs; the leader's hub grants tokens at the named rate, and hubs pass the grants on. What another upstream can serve goes there; a request that will get no token soon is refused at once with the time at which the upstream can be expected to accept it, and one that will waits for it. A limit is no failure: neither backoff nor failure rate change. An answer raises or withdraws a limit only if its request was sent after the limit was last observed; one that lowers it counts at once. A new start of the upstream begins without a limit. A limit of 0 leaves one request in 5 s, by which its end is learned.

--- a/crates/sequoiawing_gateway/src/dialect.rs
+++ b/crates/sequoiawing_gateway/src/dialect.rs
@@ -1,8 +1,8 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use sequoiawing_http::Body;
-use sequoiawing_policy::serving::{PromptPart, ReportedLoad, RequestRate};
+use sequoiawing_policy::serving::{PromptPart, ReportedLoad};
 use sequoiawing_router::Refused;
-use sequoiawing_types::Name;
+use sequoiawing_types::{Name, RequestRate};
 use std::{sync::Arc, time::Duration};
 
 /// The metadata that a request carries in its headers.
--- a/crates/sequoiawing_gateway/src/hub_sync.rs
+++ b/crates/sequoiawing_gateway/src/hub_sync.rs
@@ -173,6 +173,7 @@
             unreachable: state.unreachable(),
             reached: state.reached(),
             quarantine: state.quarantine.report(state.now()),
+            tokens: state.report_limits(),
             seen: sync_position.seen,
             wait: u64::try_from(wait.as_millis()).unwrap_or_default(),
         };
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod slots;
 mod source;
 mod state;
+mod upstream_limits;
 
 pub use daemon::Gateway;
 pub use dialect::{Attempt, Dialect, RequestMeta, ResponseHead, ResponseKind};
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -3,11 +3,11 @@
 use crate::{GatewayExchange, GatewayState, state::DemandEvent};
 use futures_lite::FutureExt;
 use sequoiawing_policy::serving::{
-    Assignment, AttemptOutcome, BalancerRequest, PickResult, ReportedLoad, RequestRate,
+    Assignment, AttemptOutcome, BalancerRequest, PickResult, ReportedLoad,
 };
 use sequoiawing_router::{Code, Refused};
 use sequoiawing_runtime::sleep;
-use sequoiawing_types::{Name, Time};
+use sequoiawing_types::{Name, RequestRate, Time};
 use std::{sync::Arc, time::Duration};
 
 /// Divides the route's latency target to get the longest wait for capacity. A
@@ -157,6 +157,7 @@
                     let refused = Refused::new(Code::Overloaded, problem).with_retry_after(retry);
                     (self.capacity_deadline(), refused)
                 }
+                PickResult::Limited(retry) => self.wait_for_token(request, retry),
                 PickResult::NotLoaded => self.wait_for_model(request),
                 PickResult::NoUpstream => {
                     let problem = "no upstream of the pool is known";
@@ -193,6 +194,25 @@
         self.started + self.exchange.route.target_latency() / CAPACITY_WAIT_DIVISOR
     }
 
+    /// Returns the time until which a request waits for a token of a limited upstream,
+    /// and the refusal after it. It does not wait if others have used up the limit for
+    /// longer than that.
+    fn wait_for_token(&mut self, request: &BalancerRequest, retry: Duration) -> (Time, Refused) {
+        self.record_demand(request, DemandEvent::Saturated);
+        self.state.urgent_report.notify(usize::MAX);
+        let problem = "the limits of all upstreams that can serve the request are used up";
+        let refused = Refused::new(Code::Overloaded, problem).with_retry_after(retry);
+        let remaining = self.exchange.remaining(self.started);
+        let delay = self.state.propagation_delay();
+        let delay = delay.min(remaining / PROPAGATION_WAIT_DIVISOR);
+        let until = if retry <= delay {
+            self.started + delay
+        } else {
+            self.started
+        };
+        (until, refused)
+    }
+
     /// Returns the time until which a request waits for a model that no upstream
     /// has loaded, and the refusal after it.
     fn wait_for_model(&mut self, request: &BalancerRequest) -> (Time, Refused) {
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -399,11 +399,15 @@
         let now = self.now();
         // The first configuration makes the gateway ready.
         self.apply_quarantine(hub, &update.quarantine);
+        if let Some(limits) = &update.limits {
+            self.apply_limits(now, limits);
+        }
         if let Some(catalog) = update.catalog {
             self.apply_catalog(now, &catalog);
         }
         self.apply_roster(now, &update.roster.listed);
         self.hubs.lock().set_gateways(update.gateways);
+        self.balancer.lock().set_hosts(update.gateways);
         let mut cluster = self.cluster.lock();
         cluster.gateways = update.gateways;
         cluster.missing = update.missing;
--- a/crates/sequoiawing_hub/src/aggregation.rs
+++ b/crates/sequoiawing_hub/src/aggregation.rs
@@ -1,4 +1,6 @@
-use sequoiawing_link::{DemandBatch, GatewayReport, GatewayUsage, ModelDemand, QuarantineReport};
+use sequoiawing_link::{
+    DemandBatch, GatewayReport, GatewayUsage, ModelDemand, QuarantineReport, TokenUse,
+};
 use sequoiawing_types::{Name, Time};
 use serde::Serialize;
 use std::{
@@ -35,6 +37,8 @@
     reached: Vec<Name>,
     #[serde(skip)]
     quarantine: QuarantineReport,
+    #[serde(skip)]
+    tokens: Vec<TokenUse>,
     /// The stamp of its last report to this hub; 0 if there was none.
     #[serde(rename = "reported")]
     report_stamp: u64,
@@ -50,6 +54,7 @@
             unreachable: Vec::new(),
             reached: Vec::new(),
             quarantine: QuarantineReport::default(),
+            tokens: Vec::new(),
             report_stamp: 0,
         }
     }
@@ -96,6 +101,7 @@
             unreachable: report.unreachable.clone(),
             reached: report.reached.clone(),
             quarantine: report.quarantine.clone(),
+            tokens: report.tokens.clone(),
             age: 0,
         };
         self.merge(now, &usage);
@@ -125,6 +131,7 @@
             gateway.unreachable.clone_from(&usage.unreachable);
             gateway.reached.clone_from(&usage.reached);
             gateway.quarantine.clone_from(&usage.quarantine);
+            gateway.tokens.clone_from(&usage.tokens);
         }
         for (customer, used) in &usage.used {
             let known = gateway.used.entry(customer.clone()).or_default();
@@ -148,6 +155,7 @@
             unreachable: g.unreachable.clone(),
             reached: g.reached.clone(),
             quarantine: g.quarantine.clone(),
+            tokens: g.tokens.clone(),
             age: u64::try_from(now.since(g.last_report).as_millis()).unwrap_or(u64::MAX),
         });
         (self.stamp, usage.collect())
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -3,8 +3,10 @@
     poison::{self, PoisonWatch},
     relay,
     service::HubService,
+    upstream_limits::{self, UpstreamLimits},
 };
 use event_listener::Event;
+use futures_lite::FutureExt;
 use parking_lot::Mutex;
 use sequoiawing_catalog::Document;
 use sequoiawing_controller::ControllerHandle;
@@ -12,8 +14,9 @@
 use sequoiawing_link::{
     ControlError, GatewayReport, Hub as _, HubClient, HubInfo, LinkListener, MirrorReply,
     MirrorRequest, ModelDemand, OrderedLoads, PlannedLoad, QuarantineReport, Secret, Stub,
-    SyncReply, connection_handler,
+    SyncReply, TokenUse, connection_handler,
 };
+use sequoiawing_policy::serving::PeerView;
 use sequoiawing_runtime::{Clock, Shutdown, Watch, sleep, spawn, timeout};
 use sequoiawing_tables::{Command, Outcome};
 use sequoiawing_types::{Name, Time};
@@ -93,6 +96,9 @@
     pub(crate) poison: Mutex<PoisonWatch>,
     /// Notified when a gateway has reported anything for `poison`.
     pub(crate) poison_reported: Event,
+    pub(crate) limits: Mutex<UpstreamLimits>,
+    /// Counts changes of the tokens granted to gateways.
+    pub(crate) grants: Watch<u64>,
     stubs: Mutex<HashMap<IpAddr, Stub<HubClient>>>,
 }
 
@@ -132,7 +138,13 @@
         self.record_report(report);
         let wait = Duration::from_millis(report.wait);
         let is_new = |seen: &u64| *seen != report.seen;
-        timeout(wait, self.changes.wait_until(is_new)).await;
+        let gateway = (&report.host, report.incarnation);
+        let has_grants = |_: &u64| {
+            let limits = self.limits.lock();
+            limits.has_news(self.now(), gateway, &report.tokens)
+        };
+        let changed = self.changes.wait_until(is_new);
+        timeout(wait, changed.or(self.grants.wait_until(has_grants))).await;
         self.build_reply(report)
     }
 
@@ -148,6 +160,37 @@
         self.update_unreachable();
         let gateway = (&report.host, report.incarnation);
         self.record_quarantine(gateway, Duration::ZERO, &report.quarantine);
+        self.record_tokens(gateway, Duration::ZERO, &report.tokens);
+    }
+
+    /// Records the tokens of a gateway as of `age` ago.
+    pub(crate) fn record_tokens(&self, gateway: (&Name, u64), age: Duration, tokens: &[TokenUse]) {
+        if !tokens.is_empty() {
+            let now = self.now();
+            self.limits.lock().record(now, gateway, age, tokens);
+        }
+    }
+
+    /// Grants the tokens that are due if this host leads.
+    pub(crate) fn grant_tokens(&self) {
+        let Some(leadership) = self.handle.leadership() else {
+            return;
+        };
+        let now = self.now();
+        let (hosts, missing) = self.usage.lock().count_gateways(now);
+        let view = PeerView {
+            hosts,
+            missing,
+            is_isolated: false,
+        };
+        if self.limits.lock().grant(now, leadership.term, view) {
+            self.notify_granted();
+        }
+    }
+
+    /// Wakes the waiting requests of gateways with new tokens, and of other hubs.
+    pub(crate) fn notify_granted(&self) {
+        self.grants.set(self.grants.get() + 1);
     }
 
     /// Records what a gateway knew of crashed upstreams `age` ago.
@@ -234,6 +277,10 @@
             missing,
             ordered: self.ordered_loads(now),
             quarantine: self.poison.lock().update(now),
+            limits: {
+                let limits = self.limits.lock();
+                limits.update_for(now, (&report.host, report.incarnation))
+            },
             seen,
         }
     }
@@ -242,7 +289,10 @@
     pub(crate) async fn mirror(&self, request: &MirrorRequest) -> MirrorReply {
         let wait = Duration::from_millis(request.wait);
         let is_new = |seen: &u64| *seen != request.seen;
-        timeout(wait, self.changes.wait_until(is_new)).await;
+        let granted = self.grants.get();
+        let changed = self.changes.wait_until(is_new);
+        let has_granted = self.grants.wait_until(|count| *count != granted);
+        timeout(wait, changed.or(has_granted)).await;
         let now = self.now();
         let seen = self.changes.get();
         let roster = self.roster.lock();
@@ -254,6 +304,7 @@
             uses,
             stamp,
             ordered: self.ordered_loads(now).filter(|_| leads),
+            limits: self.limits.lock().update(now).filter(|_| leads),
             seen,
         }
     }
@@ -382,6 +433,8 @@
             unreachable: Mutex::default(),
             poison: Mutex::default(),
             poison_reported: Event::new(),
+            limits: Mutex::default(),
+            grants: Watch::default(),
             stubs: Mutex::default(),
         });
         let service = HubService {
@@ -391,6 +444,11 @@
         spawn(mirror::mirror_other_hubs(state.clone(), shutdown.clone())).detach();
         spawn(relay::relay_demand(state.clone(), shutdown.clone())).detach();
         spawn(poison::detect(state.clone(), shutdown.clone())).detach();
+        spawn(upstream_limits::grant_tokens(
+            state.clone(),
+            shutdown.clone(),
+        ))
+        .detach();
         if let Some(options) = options {
             spawn(loader::run(state.clone(), options, shutdown.clone())).detach();
         }
--- a/crates/sequoiawing_hub/src/lib.rs
+++ b/crates/sequoiawing_hub/src/lib.rs
@@ -15,6 +15,7 @@
 mod poison;
 mod relay;
 mod service;
+mod upstream_limits;
 
 pub use aggregation::{DemandDeduplicator, UsageAggregator};
 pub use engine::{EngineClient, EngineOrder, LoaderOptions};
--- a/crates/sequoiawing_hub/src/mirror.rs
+++ b/crates/sequoiawing_hub/src/mirror.rs
@@ -103,6 +103,12 @@
         let gateway = (&usage.host, usage.incarnation);
         let age = Duration::from_millis(usage.age);
         state.record_quarantine(gateway, age, &usage.quarantine);
+        state.record_tokens(gateway, age, &usage.tokens);
+    }
+    if let Some(limits) = update.limits
+        && state.limits.lock().set_update(now, limits)
+    {
+        state.notify_granted();
     }
     if let Some(ordered) = update.ordered {
         state.set_ordered_loads(ordered);
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -1,4 +1,4 @@
-use crate::{ControlError, QuarantineReport, QuarantineUpdate};
+use crate::{ControlError, LimitUpdate, QuarantineReport, QuarantineUpdate, TokenUse};
 use sequoiawing_catalog::{Catalog, Document};
 use sequoiawing_fleet::{Cursor, RosterUpdate};
 use sequoiawing_types::Name;
@@ -73,6 +73,8 @@
     pub reached: Vec<Name>,
     /// What the gateway knows of crashed upstreams.
     pub quarantine: QuarantineReport,
+    /// The limited upstreams, with the gateway's tokens.
+    pub tokens: Vec<TokenUse>,
     /// The value of `seen` in the hub's last reply.
     pub seen: u64,
     /// The maximum time to wait for changes before replying, in milliseconds.
@@ -114,6 +116,9 @@
     /// What the gateway knows of crashed upstreams; ages are those at the time of
     /// the report.
     pub quarantine: QuarantineReport,
+    /// The limited upstreams, with the gateway's tokens; ages are those at the time
+    /// of the report.
+    pub tokens: Vec<TokenUse>,
     /// The time since the report, in milliseconds.
     pub age: u64,
 }
@@ -176,6 +181,9 @@
     pub ordered: Option<OrderedLoads>,
     /// The prompt parts that are suspected or quarantined.
     pub quarantine: QuarantineUpdate,
+    /// The limited upstreams with the gateway's tokens, if the issuer of tokens is
+    /// known and in touch.
+    pub limits: Option<LimitUpdate>,
     /// The hub's change counter, to be returned in the next report.
     pub seen: u64,
 }
@@ -206,6 +214,9 @@
     pub stamp: u64,
     /// The hub's orders, if its controller is the leader of the log.
     pub ordered: Option<OrderedLoads>,
+    /// The limited upstreams with the tokens of all gateways, if the hub's controller
+    /// is the leader of the log.
+    pub limits: Option<LimitUpdate>,
     /// The hub's change counter, to be returned in the next request.
     pub seen: u64,
 }
--- a/crates/sequoiawing_link/src/lib.rs
+++ b/crates/sequoiawing_link/src/lib.rs
@@ -17,6 +17,7 @@
 mod serve;
 mod stub;
 mod translation;
+mod upstream_limit;
 
 pub use budget::{BudgetBatch, BudgetReplies};
 pub use codec::{Codec, Format};
@@ -39,6 +40,7 @@
 };
 pub use stub::{Connect, Stub};
 pub use translation::{Translation, Translations};
+pub use upstream_limit::{LimitUpdate, NamedLimit, TokenGrant, TokenUse, UpstreamLimit};
 
 pub use futures::StreamExt;
 pub use tarpc::{client::RpcError, context::Context, server::Channel};
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -1,6 +1,6 @@
-use super::{PromptPart, ReportedLoad, RequestRate, upstream::Upstream};
+use super::{HostLimitReport, PromptPart, ReportedLoad, ToldLimit, upstream::Upstream};
 use sequoiawing_fleet::{RosterEntry, UpstreamState};
-use sequoiawing_types::{Name, Time};
+use sequoiawing_types::{Name, RequestRate, Time};
 use slotmap::{SlotMap, new_key_type};
 use std::{
     collections::{HashMap, HashSet},
@@ -69,6 +69,9 @@
     /// All suitable upstreams are full or refused a request just now because
     /// they were full; holds the delay before the next attempt.
     Full(Duration),
+    /// All suitable upstreams that are not full have named limits that are used up;
+    /// holds the time until one can be expected to accept the request.
+    Limited(Duration),
     /// No reachable upstream has loaded the model or adapter.
     NotLoaded,
     /// The pool has no known upstream.
@@ -107,6 +110,8 @@
     expected: HashMap<Name, Vec<(Name, Time)>>,
     /// Pairs of an upstream and a model that it was ordered to unload.
     evicted: HashSet<(Name, Name)>,
+    /// The number of hosts that send requests.
+    hosts: u32,
 }
 
 impl Balancer {
@@ -159,6 +164,11 @@
         }
     }
 
+    /// Sets the number of hosts that send requests.
+    pub fn set_hosts(&mut self, hosts: u32) {
+        self.hosts = hosts;
+    }
+
     /// Sets the upstreams whose announcements have stopped.
     pub fn set_silent(&mut self, silent: &HashSet<Name>) {
         for upstream in self.upstreams.values_mut() {
@@ -230,6 +240,7 @@
         let mut has_upstream = false;
         let mut has_candidate = false;
         let mut best: Option<(f64, UpstreamKey)> = None;
+        let mut best_limited: Option<(f64, UpstreamKey)> = None;
         let all_silent = self.are_all_silent(keys);
         for key in keys {
             let upstream = &self.upstreams[*key];
@@ -249,12 +260,22 @@
                 continue;
             }
             let cost = cost(now, upstream, request);
+            let upstream = &mut self.upstreams[*key];
+            let best = if upstream.limit.permits(now, self.hosts) {
+                &mut best
+            } else {
+                &mut best_limited
+            };
             if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, *key));
+                *best = Some((cost, *key));
             }
         }
+        // A request that goes elsewhere for want of a token is demand for one.
+        let limited = best_limited.filter(|(least, _)| best.is_none_or(|(cost, _)| *least < cost));
+        let retry = limited.map(|(_, key)| self.upstreams[key].limit.refuse(now));
         match best {
             Some((_, key)) => self.assign(now, key, request),
+            None if let Some(retry) = retry => PickResult::Limited(retry),
             None if has_candidate => PickResult::Full(FULL_RETRY),
             None if has_upstream => PickResult::NotLoaded,
             None => PickResult::NoUpstream,
@@ -281,6 +302,7 @@
             uncached: upstream.prefixes.uncached(&request.parts),
         };
         upstream.open += 1;
+        upstream.limit.take(now);
         upstream.prefixes.record(&request.parts);
         PickResult::Assigned(assignment)
     }
@@ -306,6 +328,26 @@
         upstream.is_some_and(|upstream| upstream.limit.observe(now, sent, rate))
     }
 
+    /// Applies what the issuer of tokens tells of an upstream; returns whether the
+    /// limit changed.
+    pub fn apply_limit(&mut self, now: Time, name: &Name, epoch: u64, told: ToldLimit) -> bool {
+        let key = self.names.get(name).copied();
+        let upstream = key.and_then(|key| self.upstreams.get_mut(key));
+        let upstream = upstream.filter(|upstream| upstream.state.epoch == epoch);
+        upstream.is_some_and(|upstream| upstream.limit.apply(now, told))
+    }
+
+    /// Returns what the issuer should know of each limited upstream, with its name and
+    /// epoch. Tokens that are not needed are returned.
+    pub fn report_limits(&mut self, now: Time) -> Vec<(Name, u64, HostLimitReport)> {
+        let upstreams = self.upstreams.values_mut();
+        let reports = upstreams.filter_map(|upstream| {
+            let report = upstream.limit.report(now)?;
+            Some((upstream.state.name.clone(), upstream.state.epoch, report))
+        });
+        reports.collect()
+    }
+
     /// Records that an upstream is silent while a request waits for it, or that
     /// it has gone on.
     pub fn set_responsive(&mut self, now: Time, key: UpstreamKey, is_responsive: bool) {
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -33,6 +33,6 @@
 pub use shared_bucket::{PeerView, SharedTokenBucket};
 pub use upstream::ReportedLoad;
 pub use upstream_limit::{
-    GrantedTokens, LimitReport, LimitedUpstream, NamedLimit, NamedRate, RequestRate, TokenHolder,
-    TokenIssuer, TokenReport,
+    GrantedTokens, HostLimitReport, LimitReport, LimitedUpstream, NamedLimit, NamedRate,
+    TokenHolder, TokenIssuer, TokenReport, ToldLimit,
 };
--- a/crates/sequoiawing_policy/src/serving/upstream.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream.rs
@@ -1,4 +1,4 @@
-use super::{NamedLimit, PrefixCache};
+use super::{PrefixCache, upstream_limit::HostLimit};
 use sequoiawing_fleet::UpstreamState;
 use sequoiawing_types::Time;
 use std::{sync::Arc, time::Duration};
@@ -57,8 +57,8 @@
     /// The moving average of failed requests, from 0 to 1.
     failure_rate: f64,
     pub(super) prefixes: PrefixCache,
-    /// The limit that it names in its answers.
-    pub(super) limit: NamedLimit,
+    /// The limit that it names.
+    pub(super) limit: HostLimit,
 }
 
 impl Upstream {
@@ -75,7 +75,7 @@
             reached_at: None,
             failure_rate: 0.0,
             prefixes: PrefixCache::new(cache_tokens),
-            limit: NamedLimit::default(),
+            limit: HostLimit::new(),
         }
     }
 
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/holder.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/holder.rs
@@ -1,8 +1,5 @@
-use super::{
-    RequestRate,
-    rate::{MICRO, earned},
-};
-use sequoiawing_types::Time;
+use super::rate::{MICRO, earned};
+use sequoiawing_types::{RequestRate, Time};
 use std::time::Duration;
 
 /// How long the demand of a host counts after a request, and how long a token is kept
@@ -18,6 +15,8 @@
 pub struct TokenReport {
     /// The issuer of the tokens.
     pub term: u64,
+    /// The tokens that it knows to be granted, in total.
+    pub granted: u64,
     /// The tokens that the host has used, in total.
     pub used: u64,
     /// The tokens that the host has returned unused, in total.
@@ -27,7 +26,7 @@
 }
 
 /// The tokens of one host for one upstream.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct TokenHolder {
     term: u64,
     granted: u64,
@@ -40,25 +39,10 @@
     issuer_heard: Option<Time>,
     /// The micro-tokens of the equal share that is used without an issuer.
     own_share: i128,
-    own_share_at: Time,
+    own_share_at: Option<Time>,
 }
 
 impl TokenHolder {
-    /// Returns a holder without tokens.
-    pub fn new(now: Time) -> Self {
-        Self {
-            term: 0,
-            granted: 0,
-            used: 0,
-            returned: 0,
-            demand: (0, 0),
-            window_start: now,
-            issuer_heard: None,
-            own_share: 0,
-            own_share_at: now,
-        }
-    }
-
     /// Applies a grant of the issuer of a term: the tokens granted to this host in total.
     ///
     /// Tokens of an earlier issuer are dropped, and its late grants are ignored.
@@ -76,11 +60,6 @@
         self.issuer_heard = Some(now);
     }
 
-    /// Records that the issuer of a term is in touch but has granted nothing.
-    pub fn hear_issuer(&mut self, now: Time, term: u64) {
-        self.apply_grant(now, term, 0);
-    }
-
     /// Returns whether a request may be sent now; `hosts` share the rate if there is no
     /// issuer.
     pub fn has_token(&mut self, now: Time, rate: RequestRate, hosts: u32) -> bool {
@@ -115,6 +94,7 @@
         self.returned += self.unused().saturating_sub(u64::from(wanted));
         TokenReport {
             term: self.term,
+            granted: self.granted,
             used: self.used,
             returned: self.returned,
             wanted,
@@ -123,14 +103,14 @@
 
     /// Earns this host's share while the issuer is silent.
     fn earn_share(&mut self, now: Time, rate: RequestRate, hosts: u32) {
-        let span = now.since(self.own_share_at);
-        self.own_share_at = self.own_share_at.max(now);
+        let span = now.since(self.own_share_at.unwrap_or(now));
+        self.own_share_at = Some(now);
         let is_heard = |at: Time| now.since(at) <= ISSUER_TIMEOUT;
         if self.issuer_heard.is_some_and(is_heard) {
             self.own_share = 0;
             return;
         }
-        let share = earned(rate.effective(), span) / i128::from(hosts.max(1));
+        let share = earned(rate, span) / i128::from(hosts.max(1));
         self.own_share = (self.own_share + share).min(MICRO);
     }
 
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
@@ -1,9 +1,9 @@
 use super::{
-    RequestRate, TokenReport,
+    TokenReport,
     rate::{MICRO, earned},
 };
 use crate::serving::PeerView;
-use sequoiawing_types::{Name, Time};
+use sequoiawing_types::{Name, RequestRate, Time};
 use std::{collections::BTreeMap, time::Duration};
 
 /// How long the tokens of a host that is not heard count as usable. A crashed host is
@@ -118,7 +118,7 @@
 impl Limit {
     /// Returns the tokens that hosts may use at once, in micro-tokens.
     fn burst(rate: RequestRate) -> i128 {
-        BURST + earned(rate.effective(), BURST_SPAN)
+        BURST + earned(rate, BURST_SPAN)
     }
 
     /// Returns the tokens that hosts hold, in micro-tokens.
@@ -140,7 +140,7 @@
         let connected = (hosts - i128::from(view.missing)).max(0);
         let unused = self.unused();
         let room = Self::burst(rate) - unused;
-        self.credit += earned(rate.effective(), span) * connected / hosts;
+        self.credit += earned(rate, span) * connected / hosts;
         self.credit = self.credit.min(room);
         let mut has_granted = false;
         while self.credit >= MICRO && self.grant_next() {
@@ -283,10 +283,3 @@
         limits.map(|(name, limit)| limit.describe(name)).collect()
     }
 }
-
-impl LimitedUpstream {
-    /// Returns when the upstream can be expected to accept another request.
-    pub fn retry_after(rate: RequestRate, unmet: u32) -> Duration {
-        rate.time_for(u64::from(unmet) + 1)
-    }
-}
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/mod.rs
@@ -6,11 +6,13 @@
 //! [docs/design/upstream-limits.md](../../../../../docs/design/upstream-limits.md).
 
 mod holder;
+mod host_limit;
 mod issuer;
 mod named_limit;
 mod rate;
 
 pub use holder::{TokenHolder, TokenReport};
+pub(super) use host_limit::HostLimit;
+pub use host_limit::{HostLimitReport, ToldLimit};
 pub use issuer::{GrantedTokens, LimitReport, LimitedUpstream, NamedRate, TokenIssuer};
 pub use named_limit::NamedLimit;
-pub use rate::RequestRate;
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/named_limit.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/named_limit.rs
@@ -1,5 +1,4 @@
-use super::RequestRate;
-use sequoiawing_types::Time;
+use sequoiawing_types::{RequestRate, Time};
 
 /// The limit that an upstream names in its answers to this host.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/sequoiawing_policy/tests/balancer.rs
+++ b/crates/sequoiawing_policy/tests/balancer.rs
@@ -66,6 +66,7 @@
     match pick {
         PickResult::Assigned(assigned) => assigned.name.as_str(),
         PickResult::Full(_) => "full",
+        PickResult::Limited(_) => "limited",
         PickResult::NotLoaded => "not loaded",
         PickResult::NoUpstream => "no upstream",
     }
--- a/crates/sequoiawing_policy/tests/upstream_limit/world.rs
+++ b/crates/sequoiawing_policy/tests/upstream_limit/world.rs
@@ -2,10 +2,8 @@
 
 use rand::RngExt;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-use sequoiawing_policy::serving::{
-    LimitReport, NamedRate, PeerView, RequestRate, TokenHolder, TokenIssuer,
-};
-use sequoiawing_types::{Name, Time};
+use sequoiawing_policy::serving::{LimitReport, NamedRate, PeerView, TokenHolder, TokenIssuer};
+use sequoiawing_types::{Name, RequestRate, Time};
 use std::{collections::BTreeMap, time::Duration};
 
 const STEP: Duration = Duration::from_millis(10);
@@ -101,7 +99,7 @@
         let hosts = (0..load.hosts).map(|i| Host {
             name: Name::from(format!("host-{i}")),
             incarnation: 1,
-            holder: TokenHolder::new(Time::ZERO),
+            holder: TokenHolder::default(),
             next_report: Time::ZERO + random.random_range(0..250) * Duration::from_millis(1),
             waiting: Vec::new(),
             is_cut: false,
@@ -154,7 +152,7 @@
                     let index = (first + i) % self.hosts.len();
                     let host = &mut self.hosts[index];
                     host.incarnation += 1;
-                    host.holder = TokenHolder::new(self.now);
+                    host.holder = TokenHolder::default();
                     host.waiting.clear();
                 }
             }
--- a/crates/sequoiawing_types/src/lib.rs
+++ b/crates/sequoiawing_types/src/lib.rs
@@ -7,12 +7,14 @@
 mod name;
 mod ran;
 mod request_id;
+mod request_rate;
 mod time;
 
 pub use findings::{Finding, Findings};
 pub use name::Name;
 pub use ran::Ran;
 pub use request_id::RequestId;
+pub use request_rate::RequestRate;
 pub use time::Time;
 
 /// The types that most crates import.
--- /dev/null
+++ b/crates/sequoiawing_types/src/request_rate.rs
@@ -0,0 +1,44 @@
+use serde::{Deserialize, Serialize};
+use std::fmt::{self, Display, Formatter};
+
+/// The thousandths in a whole.
+const MILLI: u64 = 1_000;
+
+/// A number of requests per second, exact to a thousandth.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+pub struct RequestRate {
+    milli: u64,
+}
+
+impl RequestRate {
+    /// The highest rate that is accepted, in requests per second.
+    const MAX_PER_SECOND: f64 = 1e9;
+
+    /// Returns a rate, or `None` if the number is negative, not finite or above a
+    /// billion requests per second.
+    pub fn per_second(rate: f64) -> Option<Self> {
+        if !(0.0..=Self::MAX_PER_SECOND).contains(&rate) {
+            return None;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the range was checked"
+        )]
+        let milli = (rate * 1_000.0).round() as u64;
+        Some(Self { milli })
+    }
+
+    /// Returns the rate in thousandths of a request per second.
+    pub fn milli(self) -> u64 {
+        self.milli
+    }
+}
+
+impl Display for RequestRate {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}/s", self.milli / MILLI, self.milli % MILLI)
+    }
+}
