Take only the answer of a run as the end of an upstream's limit

Cause: a refusal (421 for a model that is not loaded, 503 of a full upstream) or an error that does not name the limit was read as its withdrawal, told to all gateways, and lasted until the next answer that named it. The class: silence of one kind of message taken for a statement.

Now a limit ends only with a successful answer of the upstream that does not name one; refusals and errors may name a limit, and tell nothing if they don't.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! A single attempt to send a request to an upstream.
 
 use crate::{
-    Attempt, GatewayExchange, GatewayState, ResponseKind,
+    Attempt, GatewayExchange, GatewayState, LimitNotice, ResponseKind,
     slots::Slot,
     source::{EventStream, Source},
 };
@@ -130,8 +130,10 @@
     if let Some(load) = head.load {
         slot.report_load(load);
     }
-    if !matches!(head.kind, ResponseKind::Foreign | ResponseKind::Elsewhere) {
-        slot.observe_limit(head.limit);
+    match head.limit {
+        LimitNotice::Limited(rate) => slot.observe_limit(Some(rate)),
+        LimitNotice::Unlimited => slot.observe_limit(None),
+        LimitNotice::Unknown => {}
     }
     match head.kind {
         ResponseKind::Answer => slot.begun = Some(state.now()),
--- a/crates/sequoiawing_gateway/src/dialect.rs
+++ b/crates/sequoiawing_gateway/src/dialect.rs
@@ -82,9 +82,19 @@
     pub kind: ResponseKind,
     /// The load that the upstream reported.
     pub load: Option<ReportedLoad>,
-    /// The rate of requests that the upstream accepts from all hosts together; `None`
-    /// if it names no limit.
-    pub limit: Option<RequestRate>,
+    /// What it says of the upstream's limit.
+    pub limit: LimitNotice,
+}
+
+/// What the head of an upstream's response says of its limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LimitNotice {
+    /// The upstream accepts so many requests from all hosts together.
+    Limited(RequestRate),
+    /// The upstream has no limit, or no longer.
+    Unlimited,
+    /// The response does not tell: it is not the answer of a run.
+    Unknown,
 }
 
 /// Converts between HTTP headers and this crate's types.
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -24,7 +24,7 @@
 mod upstream_limits;
 
 pub use daemon::Gateway;
-pub use dialect::{Attempt, Dialect, RequestMeta, ResponseHead, ResponseKind};
+pub use dialect::{Attempt, Dialect, LimitNotice, RequestMeta, ResponseHead, ResponseKind};
 pub use exchange::GatewayExchange;
 pub use settings::GatewaySettings;
 pub use state::GatewayState;
