Let no older answer raise a limit that another host observed

A host that was told of a limit by a hub took any answer without one for its end, also to a request that was sent before; and of two hosts' answers at about the same time the report with the smaller age decided, although ages leave out the way of the report.

--- a/crates/sequoiawing_policy/src/serving/upstream.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream.rs
@@ -75,7 +75,7 @@
             reached_at: None,
             failure_rate: 0.0,
             prefixes: PrefixCache::new(cache_tokens),
-            limit: HostLimit::new(),
+            limit: HostLimit::default(),
         }
     }
 
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/host_limit.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/host_limit.rs
@@ -1,4 +1,4 @@
-use super::{NamedLimit, TokenHolder, TokenReport, issuer::NamedRate, rate::time_for};
+use super::{NamedLimit, NamedRate, TokenHolder, TokenReport, rate::time_for};
 use sequoiawing_types::{RequestRate, Time};
 use std::time::Duration;
 
@@ -25,43 +25,35 @@
 }
 
 /// The limit of one upstream, as one host knows and keeps it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct HostLimit {
-    own: NamedLimit,
+    /// The limit that was named last, to this host or another.
+    named: NamedLimit,
+    /// What the last answer to this host said.
+    own: Option<NamedRate>,
     told: ToldLimit,
     tokens: TokenHolder,
 }
 
 impl HostLimit {
-    pub(crate) fn new() -> Self {
-        Self {
-            own: NamedLimit::default(),
-            told: ToldLimit::default(),
-            tokens: TokenHolder::default(),
-        }
-    }
-
-    /// Returns the limit that was named last, to this host or another.
-    pub(crate) fn rate(&self) -> Option<RequestRate> {
-        let own = self.own.observed();
-        if own.is_some_and(|own| own >= self.told.named.observed) {
-            self.own.rate()
-        } else {
-            self.told.named.rate
-        }
+    fn rate(&self) -> Option<RequestRate> {
+        self.named.rate()
     }
 
     /// Applies an answer to a request that was sent at `sent`; returns whether the limit
     /// changed.
     pub(crate) fn observe(&mut self, now: Time, sent: Time, rate: Option<RequestRate>) -> bool {
         let former = self.rate();
-        self.own.observe(now, sent, rate);
+        if self.named.observe(now, sent, rate) {
+            self.own = self.named.last();
+        }
         self.rate() != former
     }
 
     /// Applies what the issuer tells; returns whether the limit changed.
     pub(crate) fn apply(&mut self, now: Time, told: ToldLimit) -> bool {
         let former = self.rate();
+        self.named.merge(told.named);
         self.tokens.apply_grant(now, told.term, told.granted);
         if told.term >= self.told.term {
             self.told = told;
@@ -96,11 +88,9 @@
     /// knows a limit.
     pub(crate) fn report(&mut self, now: Time) -> Option<HostLimitReport> {
         self.rate().or(self.told.named.rate)?;
-        let named = self.own.observed().map(|observed| NamedRate {
-            rate: self.own.rate(),
-            observed,
-        });
-        let tokens = self.tokens.report(now);
-        Some(HostLimitReport { named, tokens })
+        Some(HostLimitReport {
+            named: self.own,
+            tokens: self.tokens.report(now),
+        })
     }
 }
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
@@ -1,5 +1,5 @@
 use super::{
-    TokenReport,
+    NamedLimit, NamedRate, TokenReport,
     rate::{MICRO, earned},
 };
 use crate::serving::PeerView;
@@ -34,15 +34,6 @@
     pub tokens: TokenReport,
 }
 
-/// What an answer of an upstream said of its limit.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct NamedRate {
-    /// The limit; `None` if it named none.
-    pub rate: Option<RequestRate>,
-    /// When the answer arrived.
-    pub observed: Time,
-}
-
 /// The tokens that a host has been granted for an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GrantedTokens {
@@ -61,7 +52,7 @@
     pub upstream: Name,
     /// Its start.
     pub epoch: u64,
-    /// The limit that it named last; `None` if it has been withdrawn.
+    /// What its last answer to any host said.
     pub named: NamedRate,
     /// The number of requests that hosts want to send beyond their tokens.
     pub unmet: u32,
@@ -106,7 +97,7 @@
 #[derive(Clone, Debug)]
 struct Limit {
     epoch: u64,
-    named: NamedRate,
+    named: NamedLimit,
     reported: Time,
     /// The micro-tokens that may be granted.
     credit: i128,
@@ -132,7 +123,7 @@
         self.updated = self.updated.max(now);
         let kept = |a: &mut Account| now.since(a.heard) <= ACCOUNT_TIMEOUT;
         self.accounts.retain(|_, account| kept(account));
-        let Some(rate) = self.named.rate else {
+        let Some(rate) = self.named.rate() else {
             return false;
         };
         // Hosts that are out of touch use their equal share.
@@ -172,7 +163,7 @@
         LimitedUpstream {
             upstream: upstream.clone(),
             epoch: self.epoch,
-            named: self.named,
+            named: self.named.last().unwrap_or_default(),
             unmet: u32::try_from(unmet).unwrap_or(u32::MAX),
             grants: grants.collect(),
         }
@@ -207,7 +198,7 @@
         self.term = term;
         for limit in self.limits.values_mut() {
             limit.accounts.clear();
-            limit.credit = -limit.named.rate.map_or(0, Limit::burst);
+            limit.credit = -limit.named.rate().map_or(0, Limit::burst);
             limit.updated = now;
         }
     }
@@ -219,13 +210,14 @@
             return;
         }
         if known.is_none_or(|limit| limit.epoch < report.epoch) {
-            let Some(named) = report.named.filter(|n| n.rate.is_some()) else {
+            let is_limited = report.named.is_some_and(|named| named.rate.is_some());
+            if !is_limited {
                 self.limits.remove(&report.upstream);
                 return;
-            };
+            }
             let limit = Limit {
                 epoch: report.epoch,
-                named,
+                named: NamedLimit::default(),
                 reported: now,
                 credit: 0,
                 updated: now,
@@ -237,10 +229,8 @@
         let Some(limit) = self.limits.get_mut(&report.upstream) else {
             return;
         };
-        if let Some(named) = report.named
-            && named.observed >= limit.named.observed
-        {
-            limit.named = named;
+        if let Some(named) = report.named {
+            limit.named.merge(named);
         }
         limit.reported = now;
         let (name, incarnation) = host;
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/mod.rs
@@ -14,5 +14,5 @@
 pub use holder::{TokenHolder, TokenReport};
 pub(super) use host_limit::HostLimit;
 pub use host_limit::{HostLimitReport, ToldLimit};
-pub use issuer::{GrantedTokens, LimitReport, LimitedUpstream, NamedRate, TokenIssuer};
-pub use named_limit::NamedLimit;
+pub use issuer::{GrantedTokens, LimitReport, LimitedUpstream, TokenIssuer};
+pub use named_limit::{NamedLimit, NamedRate};
