Keep tokens exact when a host or an issuer loses its state

Found by reading, before any user saw it: a host that forgot an upstream and met it again in the same term took all tokens ever granted to it for unused (6 used twice in the test); a host whose account at the issuer had ended after 20 s out of touch got no token until the new account had caught up with the old count; tokens from before a limit fell could still be used at once. A hub that is cut off from the issuer may count few hosts, and each would have used a larger share.

--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -407,7 +407,8 @@
         }
         self.apply_roster(now, &update.roster.listed);
         self.hubs.lock().set_gateways(update.gateways);
-        self.balancer.lock().set_hosts(update.gateways);
+        let has_issuer = update.limits.is_some();
+        self.balancer.lock().set_hosts(update.gateways, has_issuer);
         let mut cluster = self.cluster.lock();
         cluster.gateways = update.gateways;
         cluster.missing = update.missing;
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -164,9 +164,16 @@
         }
     }
 
-    /// Sets the number of hosts that send requests.
-    pub fn set_hosts(&mut self, hosts: u32) {
-        self.hosts = hosts;
+    /// Sets the number of hosts that send requests, as a hub counts them.
+    ///
+    /// A hub that is out of touch with the issuer of tokens may not see the other
+    /// hosts, so that its number replaces only a lower one.
+    pub fn set_hosts(&mut self, hosts: u32, has_issuer: bool) {
+        self.hosts = if has_issuer {
+            hosts
+        } else {
+            hosts.max(self.hosts)
+        };
     }
 
     /// Sets the upstreams whose announcements have stopped.
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/holder.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/holder.rs
@@ -45,16 +45,18 @@
 impl TokenHolder {
     /// Applies a grant of the issuer of a term: the tokens granted to this host in total.
     ///
-    /// Tokens of an earlier issuer are dropped, and its late grants are ignored.
+    /// Tokens of an earlier issuer are dropped, and its late grants are ignored. Tokens
+    /// from before this host knew the issuer are returned, since it may have used them
+    /// before it lost its state.
     pub fn apply_grant(&mut self, now: Time, term: u64, granted: u64) {
         if term < self.term {
             return;
         }
         if term > self.term {
             self.term = term;
-            self.granted = 0;
+            self.granted = granted;
             self.used = 0;
-            self.returned = 0;
+            self.returned = granted;
         }
         self.granted = self.granted.max(granted);
         self.issuer_heard = Some(now);
@@ -83,6 +85,11 @@
         self.demand.0 = self.demand.0.saturating_add(1);
     }
 
+    /// Returns all tokens to the issuer.
+    pub fn return_all(&mut self) {
+        self.returned += self.unused();
+    }
+
     fn unused(&self) -> u64 {
         self.granted.saturating_sub(self.used + self.returned)
     }
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/host_limit.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/host_limit.rs
@@ -47,7 +47,7 @@
         if self.named.observe(now, sent, rate) {
             self.own = self.named.last();
         }
-        self.rate() != former
+        self.has_changed(former)
     }
 
     /// Applies what the issuer tells; returns whether the limit changed.
@@ -58,7 +58,17 @@
         if told.term >= self.told.term {
             self.told = told;
         }
-        self.rate() != former
+        self.has_changed(former)
+    }
+
+    /// Returns whether the limit differs from a former one. Tokens that were granted at
+    /// a higher rate are returned.
+    fn has_changed(&mut self, former: Option<RequestRate>) -> bool {
+        let rate = self.rate();
+        if rate.is_some() && rate < former {
+            self.tokens.return_all();
+        }
+        rate != former
     }
 
     /// Returns whether a request may be sent now.
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
@@ -235,7 +235,21 @@
         limit.reported = now;
         let (name, incarnation) = host;
         let account = limit.accounts.entry(name.clone());
-        let account = account.or_insert_with(|| Account::new(incarnation, now));
+        let account = account.or_insert_with(|| {
+            // An account that ended continues where its host is.
+            let is_own = report.tokens.term == self.term;
+            let known = if is_own {
+                report.tokens
+            } else {
+                TokenReport::default()
+            };
+            Account {
+                granted: known.granted,
+                used: known.used,
+                returned: known.returned,
+                ..Account::new(incarnation, now)
+            }
+        });
         if incarnation < account.incarnation {
             return;
         }
@@ -250,9 +264,9 @@
         if report.tokens.term == self.term {
             account.used = account.used.max(report.tokens.used);
             let returned = report.tokens.returned.saturating_sub(account.returned);
-            account.returned += returned;
             // What was never used may be granted again.
-            limit.credit += i128::from(returned) * MICRO;
+            limit.credit += i128::from(returned.min(account.unused())) * MICRO;
+            account.returned += returned;
         }
     }
 
