Bound what a relay keeps of an answer that does not end

A gateway kept an incomplete event of a stream however long it grew, and copied it with each part; buffered up to 8 MiB of each answer, however many there were; and read the body of a refusal to its end before the request went on, so that the caller got 504 at its deadline. Routers kept incomplete events too, and the reply to an order without a bound.

The class: a bound for each message, or none, where the host's memory is what must hold. An event is now at most 1 MiB, at both relays; a stream with a longer one is broken off or resumed elsewhere like any other. The reply to an order at a router is at most 64 KiB; the platform's engine client had bounds. Heads are bounded by hyper. Health checks of routers connect and read nothing.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -2,11 +2,11 @@
 
 use crate::{
     Attempt, GatewayExchange, GatewayState, LimitNotice, ResponseKind,
+    response_body::{ReadError, drain},
     slots::Slot,
     source::{EventStream, Source},
 };
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{Request, Response, Uri, http::response::Parts};
 use sequoiawing_catalog::RetryPolicy;
 use sequoiawing_http::{Body, ClientBody, ClientError, empty, from_bytes};
@@ -15,9 +15,6 @@
 use std::sync::Arc;
 use thiserror::Error;
 
-/// The maximum size of a buffered response body, in bytes.
-const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
-
 /// An upstream's response.
 pub(crate) enum UpstreamResponse {
     /// An event stream whose head has been received.
@@ -144,22 +141,22 @@
             ));
         }
         kind => {
-            drain_body(body).await;
+            drain(body);
             return Err(AttemptError::NotRun(kind));
         }
     }
     if repeat.is_stream() && parts.status.is_success() {
         return Ok(Received::Stream(parts, body));
     }
-    match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
-        Ok(body) => {
+    match state.bodies.read(body).await {
+        Ok(bytes) => {
             if parts.status.is_success() {
                 state.record_part_success(&exchange.meta);
             }
-            Ok(Received::Buffered(parts, body.to_bytes()))
+            Ok(Received::Buffered(parts, bytes))
         }
         Err(error) => {
-            if !error.is::<LengthLimitError>() {
+            if matches!(error, ReadError::Broken(_)) {
                 state.record_broken_answer(&exchange.meta, slot);
             }
             Err(AttemptError::MayHaveRun(error.to_string()))
@@ -167,13 +164,6 @@
     }
 }
 
-/// Reads a refusal's body to its end so that the connection can be reused.
-async fn drain_body(body: ClientBody) {
-    if let Err(error) = Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
-        log::debug!(target: "gateway", "Failed to read the rest of a refusal from an upstream: {error}.");
-    }
-}
-
 fn build_request(
     state: &GatewayState,
     exchange: &GatewayExchange,
--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -47,7 +47,7 @@
                     Some(part) => part.map_err(|error| error.to_string())?,
                 },
             };
-            let complete = events.push(part);
+            let complete = events.push(part).map_err(|error| error.to_string())?;
             if !complete.is_empty() {
                 return Ok(Some(complete));
             }
@@ -64,7 +64,8 @@
         while let Some(part) = self.receive().await {
             let part = part.map_err(|error| error.to_string())?;
             self.ahead.push_back(part.clone());
-            if !events.push(part).is_empty() {
+            let complete = events.push(part).map_err(|error| error.to_string())?;
+            if !complete.is_empty() {
                 return Ok(());
             }
         }
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -2,6 +2,7 @@
     Dialect, GatewaySettings,
     cluster_view::{ClusterView, DISCONNECTED_AFTER, HubView},
     quarantine::QuarantineState,
+    response_body::BodyBuffers,
 };
 use arc_swap::ArcSwap;
 use event_listener::Event;
@@ -111,6 +112,8 @@
     pub(crate) urgent_report: Event,
     pub(crate) open_requests: AtomicU64,
     pub(crate) quarantine: QuarantineState,
+    /// The buffered bodies of upstreams' responses.
+    pub(crate) bodies: BodyBuffers,
 }
 
 impl GatewayState {
@@ -143,6 +146,7 @@
             urgent_report: Event::new(),
             open_requests: AtomicU64::new(0),
             quarantine: QuarantineState::new(rand::random()),
+            bodies: BodyBuffers::default(),
         }
     }
 
--- a/crates/sequoiawing_http/src/lib.rs
+++ b/crates/sequoiawing_http/src/lib.rs
@@ -16,4 +16,4 @@
 pub use client::{Client, ClientBody, ClientError};
 pub use headers::remove_hop_headers;
 pub use listener::{Handler, HttpListener, HttpSettings};
-pub use sse::SseSplitter;
+pub use sse::{EventTooLong, SseSplitter};
--- a/crates/sequoiawing_http/src/sse.rs
+++ b/crates/sequoiawing_http/src/sse.rs
@@ -5,10 +5,19 @@
 
 use bytes::{Bytes, BytesMut};
 use memchr::memmem;
+use thiserror::Error;
 
 /// The last event of a complete stream.
 const DONE_EVENT: &[u8] = b"data: [DONE]";
 
+/// The maximum length of an event, in bytes. Events hold some tokens of text.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// An event of a stream did not end in time.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
+
 /// Splits a stream of server-sent events into complete events, counts them and
 /// detects the last one.
 ///
@@ -24,7 +33,11 @@
 
 impl SseSplitter {
     /// Appends a part of the stream and returns the events that are now complete.
-    pub fn push(&mut self, part: Bytes) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an event is longer than 1 MiB. Nothing of it is kept.
+    pub fn push(&mut self, part: Bytes) -> Result<Bytes, EventTooLong> {
         let complete = if self.partial.is_empty() {
             self.split(part)
         } else {
@@ -32,8 +45,12 @@
             let joined = std::mem::take(&mut self.partial).freeze();
             self.split(joined)
         };
+        if self.partial.len() > MAX_EVENT_BYTES {
+            self.partial = BytesMut::new();
+            return Err(EventTooLong);
+        }
         self.scan(&complete);
-        complete
+        Ok(complete)
     }
 
     /// Discards the incomplete event, for use when the stream is resumed after
--- a/crates/sequoiawing_http/src/sse/tests.rs
+++ b/crates/sequoiawing_http/src/sse/tests.rs
@@ -12,6 +12,7 @@
             let mut output = Vec::new();
             for part in parts {
                 let complete = splitter.push(Bytes::copy_from_slice(part));
+                let complete = complete.expect("the events are short");
                 assert!(
                     complete.is_empty() || complete.ends_with(b"\n"),
                     "{complete:?}"
@@ -28,10 +29,12 @@
 #[test]
 fn a_discarded_partial_event_is_not_counted() {
     let mut splitter = SseSplitter::default();
-    splitter.push(Bytes::from_static(b"data: a\n\ndata: b"));
+    let complete = splitter.push(Bytes::from_static(b"data: a\n\ndata: b"));
+    complete.expect("the events are short");
     splitter.discard_partial();
     assert_eq!(splitter.count(), 1);
     let complete = splitter.push(Bytes::from_static(b"data: b\n\n"));
+    let complete = complete.expect("the events are short");
     assert_eq!(&complete[..], b"data: b\n\n");
     assert_eq!(splitter.count(), 2);
     assert!(!splitter.is_done());
@@ -42,7 +45,8 @@
         #[test]
         fn $name() {
             let mut splitter = SseSplitter::default();
-            splitter.push(Bytes::from_static($stream));
+            let complete = splitter.push(Bytes::from_static($stream));
+            complete.expect("the events are short");
             assert_eq!(splitter.last_id(), $id);
         }
     )*};
@@ -54,3 +58,13 @@
     the_id_may_follow_another_field: b"weight-versions:2\nid: 4\ndata: id: 9\n\n" => Some(4);
     a_stream_without_ids_has_none: b"data: a\n\n" => None;
 }
+
+// Guards against a relay whose memory is used up by an event without end.
+#[test]
+fn an_event_without_end_is_not_kept() {
+    let mut splitter = SseSplitter::default();
+    let part = Bytes::from(vec![b'a'; 64 * 1024]);
+    let pushed = (0..32).map(|_| splitter.push(part.clone()));
+    assert_eq!(pushed.filter(Result::is_err).count(), 1);
+    assert!(splitter.partial.len() <= 1024 * 1024);
+}
--- a/crates/sequoiawing_router/src/controllers/placement.rs
+++ b/crates/sequoiawing_router/src/controllers/placement.rs
@@ -2,7 +2,7 @@
     Controller, RouterState, controllers::store_credits::StoreCredits, headers::ATTEMPT_HEADER,
 };
 use async_channel::{Receiver, Sender};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, header};
 use sequoiawing_cell::{CellEvent, ShareCount, Version};
 use sequoiawing_fleet::{Demand, DemandStatus, Order, OrderReply, UpstreamState};
@@ -28,6 +28,9 @@
 /// The timeout of an order or a demand.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The maximum size of the reply to an order, in bytes.
+const MAX_REPLY_BYTES: usize = 64 * 1024;
+
 /// How long after the start of a router every upstream that may hold a replica
 /// has announced itself. Upstreams do so at least once per second.
 const DISCOVERY_TIME: Duration = Duration::from_secs(2);
@@ -313,7 +316,8 @@
         .ok()?;
     let exchange = async {
         let response = state.client.send(to, request).await.ok()?;
-        let body = response.into_body().collect().await.ok()?;
+        let body = Limited::new(response.into_body(), MAX_REPLY_BYTES);
+        let body = body.collect().await.ok()?;
         serde_json::from_slice(&body.to_bytes()).ok()
     };
     timeout(CALL_TIMEOUT, exchange).await.flatten()
--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -14,7 +14,9 @@
     header::{self, HeaderValue},
     http::response::Parts,
 };
-use sequoiawing_http::{Body, BodyError, ClientBody, SseSplitter, remove_hop_headers};
+use sequoiawing_http::{
+    Body, BodyError, ClientBody, EventTooLong, SseSplitter, remove_hop_headers,
+};
 use sequoiawing_runtime::sleep;
 use sequoiawing_types::{Name, Ran, Time};
 use std::{
@@ -235,16 +237,16 @@
     }
 
     /// Returns the data that may be relayed after a chunk was received.
-    fn process_chunk(&mut self, chunk: Bytes) -> Option<Bytes> {
+    fn process_chunk(&mut self, chunk: Bytes) -> Result<Option<Bytes>, EventTooLong> {
         let Some(events) = &mut self.events else {
-            return Some(chunk);
+            return Ok(Some(chunk));
         };
         if self.resume.is_some() {
-            let complete = events.push(chunk);
-            return (!complete.is_empty()).then_some(complete);
+            let complete = events.push(chunk)?;
+            return Ok((!complete.is_empty()).then_some(complete));
         }
-        events.push(chunk.clone());
-        Some(chunk)
+        events.push(chunk.clone())?;
+        Ok(Some(chunk))
     }
 }
 
@@ -266,8 +268,9 @@
             let error = match ready!(self.poll_upstream(cx)) {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(chunk) => match self.process_chunk(chunk) {
-                        Some(chunk) => return Poll::Ready(Some(Ok(Frame::data(chunk)))),
-                        None => continue,
+                        Ok(Some(chunk)) => return Poll::Ready(Some(Ok(Frame::data(chunk)))),
+                        Ok(None) => continue,
+                        Err(error) => self.handle_end(Some(error.into())),
                     },
                     Err(trailers) => return Poll::Ready(Some(Ok(trailers))),
                 },
