--- a/crates/sequoiawing_router/src/controllers/keys.rs
+++ b/crates/sequoiawing_router/src/controllers/keys.rs
@@ -170,16 +170,16 @@
 }
 
 /// Replaces the file atomically, so that a crash leaves either the old or the new
-/// content.
+/// content. Once it returns, a loss of power leaves the new one.
 fn write_keys(file: &Path, keys: &SavedKeys) -> io::Result<()> {
-    if let Some(folder) = file.parent() {
-        fs::create_dir_all(folder)?;
-    }
+    let folder = file.parent().unwrap_or(Path::new("."));
+    fs::create_dir_all(folder)?;
     let temporary = file.with_extension("new");
     let mut handle = fs::File::create(&temporary)?;
     handle.write_all(&serde_json::to_vec(keys)?)?;
     handle.sync_all()?;
-    fs::rename(&temporary, file)
+    fs::rename(&temporary, file)?;
+    fs::File::open(folder)?.sync_all()
 }
 
 impl Controller for PropagateWithdrawals {
--- a/crates/sequoiawing_router/src/saved_tables.rs
+++ b/crates/sequoiawing_router/src/saved_tables.rs
@@ -107,6 +107,9 @@
 
 /// Reads the tables and the size of the valid part of the change log.
 fn read(folder: &Path) -> io::Result<(Tables, u64)> {
+    // A former process may have ended before it synced a name; changes are appended to
+    // what is read here.
+    sync_folder(folder)?;
     let bytes = fs::read(folder.join(TABLES_FILE))?;
     let mut tables: Tables = serde_json::from_slice(&bytes)?;
     let changes = match fs::read(folder.join(CHANGES_FILE)) {
