Send only the tokens that hosts still have

The leader's hub sent each hub the counts of all gateways with every grant. A grant says what the issuer knows to be settled, so that a host that forgot its counts takes only new tokens for unused; a test that failed for want of it was written with it.

--- a/crates/sequoiawing_gateway/src/upstream_limits.rs
+++ b/crates/sequoiawing_gateway/src/upstream_limits.rs
@@ -36,13 +36,15 @@
         let mut balancer = self.balancer.lock();
         for limit in &update.limits {
             let age = Duration::from_millis(limit.named.age);
+            let grant = limit.grants.first().cloned().unwrap_or_default();
             let told = ToldLimit {
                 named: NamedRate {
                     rate: limit.named.rate,
                     observed: Time::ZERO + now.since(Time::ZERO + age),
                 },
                 term: update.term,
-                granted: limit.grants.first().map_or(0, |grant| grant.granted),
+                granted: grant.granted,
+                settled: grant.settled,
                 unmet: limit.unmet,
             };
             if balancer.apply_limit(now, &limit.upstream, limit.epoch, told) {
--- a/crates/sequoiawing_hub/src/upstream_limits.rs
+++ b/crates/sequoiawing_hub/src/upstream_limits.rs
@@ -142,6 +142,7 @@
         host: grant.host,
         incarnation: grant.incarnation,
         granted: grant.granted,
+        settled: grant.settled,
     });
     UpstreamLimit {
         upstream: limit.upstream,
--- a/crates/sequoiawing_link/src/upstream_limit.rs
+++ b/crates/sequoiawing_link/src/upstream_limit.rs
@@ -46,6 +46,8 @@
     pub incarnation: u64,
     /// The tokens, in total since the issuer's term began.
     pub granted: u64,
+    /// Those of them that the gateway has reported as used or returned.
+    pub settled: u64,
 }
 
 /// The limit of an upstream, and the tokens granted for it.
@@ -60,7 +62,7 @@
     pub named: NamedLimit,
     /// The number of requests of all gateways that found no token lately.
     pub unmet: u32,
-    /// The tokens of the gateways; in a reply to a gateway, only its own.
+    /// The gateways that have tokens; in a reply to a gateway, only its own.
     pub grants: Vec<TokenGrant>,
 }
 
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/holder.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/holder.rs
@@ -43,12 +43,13 @@
 }
 
 impl TokenHolder {
-    /// Applies a grant of the issuer of a term: the tokens granted to this host in total.
+    /// Applies a grant of the issuer of a term: the tokens granted to this host in total,
+    /// and those of them that the issuer knows to be settled; 0 if it grants none.
     ///
     /// Tokens of an earlier issuer are dropped, and its late grants are ignored. Tokens
     /// from before this host knew the issuer are returned, since it may have used them
     /// before it lost its state.
-    pub fn apply_grant(&mut self, now: Time, term: u64, granted: u64) {
+    pub fn apply_grant(&mut self, now: Time, term: u64, granted: u64, settled: u64) {
         if term < self.term {
             return;
         }
@@ -59,6 +60,7 @@
             self.returned = granted;
         }
         self.granted = self.granted.max(granted);
+        self.used += settled.saturating_sub(self.used + self.returned);
         self.issuer_heard = Some(now);
     }
 
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/host_limit.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/host_limit.rs
@@ -9,8 +9,10 @@
     pub named: NamedRate,
     /// The issuer.
     pub term: u64,
-    /// The tokens that it has granted to this host, in total.
+    /// The tokens that it has granted to this host, in total; 0 if none is left.
     pub granted: u64,
+    /// Those of them that it knows to be used or returned.
+    pub settled: u64,
     /// The number of requests of all hosts that found no token lately.
     pub unmet: u32,
 }
@@ -54,7 +56,8 @@
     pub(crate) fn apply(&mut self, now: Time, told: ToldLimit) -> bool {
         let former = self.rate();
         self.named.merge(told.named);
-        self.tokens.apply_grant(now, told.term, told.granted);
+        self.tokens
+            .apply_grant(now, told.term, told.granted, told.settled);
         if told.term >= self.told.term {
             self.told = told;
         }
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
@@ -43,6 +43,8 @@
     pub incarnation: u64,
     /// The tokens, in total since the issuer's start.
     pub granted: u64,
+    /// Those of them that the host has reported as used or returned.
+    pub settled: u64,
 }
 
 /// An upstream that names a limit, or named one lately.
@@ -56,7 +58,7 @@
     pub named: NamedRate,
     /// The number of requests that hosts want to send beyond their tokens.
     pub unmet: u32,
-    /// The tokens of the hosts.
+    /// The hosts that have tokens.
     pub grants: Vec<GrantedTokens>,
 }
 
@@ -85,8 +87,12 @@
         }
     }
 
+    fn settled(&self) -> u64 {
+        self.used + self.returned
+    }
+
     fn unused(&self) -> u64 {
-        self.granted.saturating_sub(self.used + self.returned)
+        self.granted.saturating_sub(self.settled())
     }
 
     fn unmet(&self) -> u64 {
@@ -155,10 +161,12 @@
 
     fn describe(&self, upstream: &Name) -> LimitedUpstream {
         let unmet: u64 = self.accounts.values().map(Account::unmet).sum();
-        let grants = self.accounts.iter().map(|(host, account)| GrantedTokens {
+        let holders = self.accounts.iter().filter(|(_, a)| a.unused() > 0);
+        let grants = holders.map(|(host, account)| GrantedTokens {
             host: host.clone(),
             incarnation: account.incarnation,
             granted: account.granted,
+            settled: account.settled(),
         });
         LimitedUpstream {
             upstream: upstream.clone(),
--- a/crates/sequoiawing_policy/tests/token_accounts.rs
+++ b/crates/sequoiawing_policy/tests/token_accounts.rs
@@ -58,14 +58,15 @@
             is_isolated: false,
         };
         self.issuer.advance(self.now, view);
-        let granted = self.granted();
-        self.holder.apply_grant(self.now, TERM, granted);
+        self.tell();
     }
 
-    fn granted(&self) -> u64 {
+    /// Tells the host what the issuer has granted.
+    fn tell(&mut self) {
         let limits = self.issuer.limits();
         let mut grants = limits.iter().flat_map(|limit| &limit.grants);
-        grants.next().map_or(0, |grant| grant.granted)
+        let (granted, settled) = grants.next().map_or((0, 0), |g| (g.granted, g.settled));
+        self.holder.apply_grant(self.now, TERM, granted, settled);
     }
 
     /// Uses all tokens of the host, and returns their number.
@@ -86,11 +87,30 @@
     pair.pass(Duration::from_secs(10));
     assert!(pair.use_all() > 0, "the host must have had tokens");
     pair.holder = TokenHolder::default();
-    let granted = pair.granted();
-    pair.holder.apply_grant(pair.now, TERM, granted);
+    pair.tell();
     assert_eq!(pair.use_all(), 0);
 }
 
+// Guards against tokens that are used twice by a host that forgot it had reported them.
+#[test]
+fn a_host_that_lost_its_state_uses_only_new_tokens() {
+    let mut pair = Pair::new(2.0);
+    pair.pass(Duration::from_secs(10));
+    pair.use_all();
+    pair.exchange();
+    pair.use_all();
+    let named = pair.holder.report(pair.now);
+    pair.holder = TokenHolder::default();
+    pair.holder.apply_grant(pair.now, TERM, 0, 0);
+    pair.holder.apply_grant(
+        pair.now,
+        TERM,
+        named.granted + 1,
+        named.used + named.returned,
+    );
+    assert_eq!(pair.use_all(), 1);
+}
+
 // Guards against a host that gets no tokens any more once it has lost its state.
 #[test]
 fn a_host_that_lost_its_state_gets_tokens_again() {
@@ -118,7 +138,7 @@
         };
         pair.issuer.advance(pair.now, view);
     }
-    pair.holder.apply_grant(pair.now, TERM, 0);
+    pair.holder.apply_grant(pair.now, TERM, 0, 0);
     pair.pass(Duration::from_secs(3));
     assert!(pair.use_all() > 0, "the host must get tokens again");
 }
--- a/crates/sequoiawing_policy/tests/upstream_limit/world.rs
+++ b/crates/sequoiawing_policy/tests/upstream_limit/world.rs
@@ -72,7 +72,7 @@
 
 enum Message {
     Report(usize, u64, LimitReport),
-    Grant(usize, u64, u64, u64),
+    Grant(usize, u64, u64, (u64, u64)),
 }
 
 pub(crate) struct World {
@@ -81,8 +81,8 @@
     load: Load,
     hosts: Vec<Host>,
     issuer: TokenIssuer,
-    /// The tokens granted to each host, as of the last step.
-    granted: Vec<u64>,
+    /// The tokens granted to each host, and those settled, as of the last step.
+    granted: Vec<(u64, u64)>,
     messages: BTreeMap<(Time, u64), Message>,
     next_message: u64,
     sent: Vec<Time>,
@@ -113,7 +113,7 @@
             load,
             hosts,
             issuer,
-            granted: vec![0; usize::try_from(load.hosts).expect("there must be few hosts")],
+            granted: vec![(0, 0); usize::try_from(load.hosts).expect("there must be few hosts")],
             messages: BTreeMap::new(),
             next_message: 0,
             sent: Vec::new(),
@@ -205,7 +205,8 @@
                 Message::Grant(i, incarnation, term, granted) => {
                     let host = &mut self.hosts[i];
                     if !host.is_cut && host.incarnation == incarnation {
-                        host.holder.apply_grant(self.now, term, granted);
+                        let (granted, settled) = granted;
+                        host.holder.apply_grant(self.now, term, granted, settled);
                     }
                 }
                 Message::Report(..) => {}
@@ -230,19 +231,19 @@
             is_isolated: false,
         };
         self.issuer.advance(self.now, view);
-        let mut granted = vec![0; self.hosts.len()];
+        let mut granted = vec![(0, 0); self.hosts.len()];
         for limit in self.issuer.limits() {
             for grant in limit.grants {
                 let number = grant.host.as_str().trim_start_matches("host-");
                 let index: usize = number.parse().expect("the host must have a number");
                 if grant.incarnation == self.hosts[index].incarnation {
-                    granted[index] = grant.granted;
+                    granted[index] = (grant.granted, grant.settled);
                 }
             }
         }
         let before = std::mem::replace(&mut self.granted, granted);
         for (i, former) in before.into_iter().enumerate() {
-            if self.granted[i] > former {
+            if self.granted[i].0 > former.0 {
                 self.answer(i);
             }
         }
