--- a/crates/sequoiawing_standin/src/fault.rs
+++ b/crates/sequoiawing_standin/src/fault.rs
@@ -28,6 +28,10 @@
     /// Responds with bytes that are not HTTP.
     #[serde(rename = "rubbish")]
     InvalidHttp,
+    /// Sends headers until the connection is closed.
+    EndlessHead,
+    /// Sends a body in chunks until the connection is closed.
+    EndlessBody,
     /// Sends a second response after each requested one.
     #[serde(rename = "stray_answer")]
     ExtraResponse,
@@ -52,6 +56,8 @@
         matches!(
             self,
             Self::InvalidHttp
+                | Self::EndlessHead
+                | Self::EndlessBody
                 | Self::ExtraResponse
                 | Self::Unframed
                 | Self::CloseIdle
--- a/crates/sequoiawing_standin/src/raw.rs
+++ b/crates/sequoiawing_standin/src/raw.rs
@@ -8,6 +8,10 @@
 /// The maximum size of a request's headers, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// The most bytes of a response without end, so that it cannot use up the memory of the
+/// machine.
+const MAX_ENDLESS_BYTES: usize = 8 * 1024 * 1024;
+
 /// How long the connection stays open after an early response.
 const EARLY_CLOSE_DELAY: Duration = Duration::from_millis(200);
 
@@ -67,6 +71,22 @@
                 .write_all(b"\x16\x03\x01 no HTTP at all\r\n\r\n")
                 .await
         }
+        Fault::EndlessHead => {
+            let attempt = request.header("sequoiawing-attempt").unwrap_or_default();
+            let head = format!("HTTP/1.1 200 OK\r\nsequoiawing-attempt: {attempt}\r\n");
+            stream.write_all(head.as_bytes()).await?;
+            write_without_end(stream, &b"x-y: zzzzzzzzzz\r\n".repeat(1_024)).await
+        }
+        Fault::EndlessBody => {
+            let attempt = request.header("sequoiawing-attempt").unwrap_or_default();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nsequoiawing-attempt: {attempt}\r\n\
+                 transfer-encoding: chunked\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).await?;
+            let chunk = format!("4000\r\n{}\r\n", "a".repeat(0x4000));
+            write_without_end(stream, chunk.as_bytes()).await
+        }
         Fault::ExtraResponse => {
             let extra = request.response("stray");
             let both = format!("{response}{extra}");
@@ -88,6 +108,14 @@
     }
 }
 
+/// Writes a part again and again, and then waits for the peer to close the connection.
+async fn write_without_end(stream: &mut TcpStream, part: &[u8]) -> io::Result<()> {
+    for _ in 0..MAX_ENDLESS_BYTES / part.len() {
+        stream.write_all(part).await?;
+    }
+    stream.read(&mut [0; 1]).await.map(drop)
+}
+
 /// Reads a request, without its body if the fault is an early response. Returns
 /// `None` if the connection ends or the headers are too large.
 async fn read_request(stream: &mut TcpStream, fault: Fault) -> io::Result<Option<RawRequest>> {
--- a/tests/requests/upstreams.rs
+++ b/tests/requests/upstreams.rs
@@ -119,6 +119,7 @@
     a_call_refused_by_an_upstream_is_retried: Refuse;
     an_invalid_response_is_retried: InvalidHttp;
     a_response_without_a_length_is_retried: Unframed;
+    a_head_without_end_is_retried: EndlessHead;
     a_closed_connection_is_retried: Disconnect;
 }
 
@@ -127,12 +128,14 @@
     a_response_to_another_attempt_leaves_the_outcome_unknown: WrongAttempt;
     an_invalid_response_leaves_the_outcome_unknown: InvalidHttp;
     a_response_without_a_length_leaves_the_outcome_unknown: Unframed;
+    a_head_without_end_leaves_the_outcome_unknown: EndlessHead;
     a_closed_connection_leaves_the_outcome_unknown: Disconnect;
 }
 
 fault_cases! { assert_incomplete:
     an_aborted_non_repeatable_response_ends_with_an_error: Abort;
     a_stalled_non_repeatable_response_ends_with_an_error: Stall;
+    a_non_repeatable_response_without_end_ends_with_an_error: EndlessBody;
 }
 
 cases! {
