--- a/crates/sequoiawing_consensus/tests/storage.rs
+++ b/crates/sequoiawing_consensus/tests/storage.rs
@@ -208,17 +208,21 @@
     assert!(matches!(folder.open(), Err(StorageError::Damaged { .. })));
 }
 
-#[test]
-fn damage_in_a_closed_segment_is_no_torn_tail() {
-    let folder = Folder::new("closed");
+/// Writes 200 entries, which takes several segments, and returns these.
+fn fill_segments(folder: &Folder) -> Vec<PathBuf> {
     let mut storage = folder.open().expect("a new folder must open");
     storage.write(&[founded()]).expect("the write must succeed");
     for index in 1..=200 {
         let write = append(vec![entry(index, 1)]);
         storage.write(&[write]).expect("the write must succeed");
     }
-    drop(storage);
-    let segments = folder.segments();
+    folder.segments()
+}
+
+#[test]
+fn damage_in_a_closed_segment_is_no_torn_tail() {
+    let folder = Folder::new("closed");
+    let segments = fill_segments(&folder);
     assert!(segments.len() > 2, "several segments must have been closed");
     let closed = &segments[segments.len() - 2];
     let bytes = fs::read(closed).expect("the file must be readable");
@@ -235,14 +239,7 @@
     F: Fn(&mut Vec<u8>),
 {
     let folder = Folder::new(name);
-    let mut storage = folder.open().expect("a new folder must open");
-    storage.write(&[founded()]).expect("the write must succeed");
-    for index in 1..=200 {
-        let write = append(vec![entry(index, 1)]);
-        storage.write(&[write]).expect("the write must succeed");
-    }
-    drop(storage);
-    let segments = folder.segments();
+    let segments = fill_segments(&folder);
     let closed = &segments[segments.len() - 2];
     let mut bytes = fs::read(closed).expect("the file must be readable");
     change(&mut bytes);
--- a/crates/sequoiawing_gateway/src/upstream_limits.rs
+++ b/crates/sequoiawing_gateway/src/upstream_limits.rs
@@ -1,7 +1,7 @@
 //! The limits that upstreams name, and this gateway's tokens for them.
 
 use crate::GatewayState;
-use sequoiawing_link::{LimitUpdate, NamedLimit, TokenUse};
+use sequoiawing_link::{LimitUpdate, ObservedLimit, TokenUse};
 use sequoiawing_policy::serving::{NamedRate, ToldLimit};
 use sequoiawing_types::Time;
 use std::time::Duration;
@@ -13,7 +13,7 @@
         let now = self.now();
         let reports = self.balancer.lock().report_limits(now);
         let uses = reports.into_iter().map(|(upstream, epoch, report)| {
-            let named = report.named.map(|named| NamedLimit {
+            let named = report.named.map(|named| ObservedLimit {
                 rate: named.rate,
                 age: millis(now.since(named.observed)),
             });
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -14,9 +14,8 @@
 use sequoiawing_link::{
     ControlError, GatewayReport, Hub as _, HubClient, HubInfo, LinkListener, MirrorReply,
     MirrorRequest, ModelDemand, OrderedLoads, PlannedLoad, QuarantineReport, Secret, Stub,
-    SyncReply, TokenUse, connection_handler,
+    SyncReply, connection_handler,
 };
-use sequoiawing_policy::serving::PeerView;
 use sequoiawing_runtime::{Clock, Shutdown, Watch, sleep, spawn, timeout};
 use sequoiawing_tables::{Command, Outcome};
 use sequoiawing_types::{Name, Time};
@@ -163,36 +162,6 @@
         self.record_tokens(gateway, Duration::ZERO, &report.tokens);
     }
 
-    /// Records the tokens of a gateway as of `age` ago.
-    pub(crate) fn record_tokens(&self, gateway: (&Name, u64), age: Duration, tokens: &[TokenUse]) {
-        if !tokens.is_empty() {
-            let now = self.now();
-            self.limits.lock().record(now, gateway, age, tokens);
-        }
-    }
-
-    /// Grants the tokens that are due if this host leads.
-    pub(crate) fn grant_tokens(&self) {
-        let Some(leadership) = self.handle.leadership() else {
-            return;
-        };
-        let now = self.now();
-        let (hosts, missing) = self.usage.lock().count_gateways(now);
-        let view = PeerView {
-            hosts,
-            missing,
-            is_isolated: false,
-        };
-        if self.limits.lock().grant(now, leadership.term, view) {
-            self.notify_granted();
-        }
-    }
-
-    /// Wakes the waiting requests of gateways with new tokens, and of other hubs.
-    pub(crate) fn notify_granted(&self) {
-        self.grants.set(self.grants.get() + 1);
-    }
-
     /// Records what a gateway knew of crashed upstreams `age` ago.
     pub(crate) fn record_quarantine(
         &self,
--- a/crates/sequoiawing_hub/src/upstream_limits.rs
+++ b/crates/sequoiawing_hub/src/upstream_limits.rs
@@ -2,7 +2,7 @@
 //! them on at the others.
 
 use crate::hub::HubState;
-use sequoiawing_link::{LimitUpdate, NamedLimit, TokenGrant, TokenUse, UpstreamLimit};
+use sequoiawing_link::{LimitUpdate, ObservedLimit, TokenGrant, TokenUse, UpstreamLimit};
 use sequoiawing_policy::serving::{
     LimitReport, LimitedUpstream, NamedRate, PeerView, TokenIssuer, TokenReport,
 };
@@ -130,6 +130,38 @@
     }
 }
 
+impl HubState {
+    /// Records the tokens of a gateway as of `age` ago.
+    pub(crate) fn record_tokens(&self, gateway: (&Name, u64), age: Duration, tokens: &[TokenUse]) {
+        if !tokens.is_empty() {
+            let now = self.now();
+            self.limits.lock().record(now, gateway, age, tokens);
+        }
+    }
+
+    /// Grants the tokens that are due if this host leads.
+    pub(crate) fn grant_tokens(&self) {
+        let Some(leadership) = self.handle.leadership() else {
+            return;
+        };
+        let now = self.now();
+        let (hosts, missing) = self.usage.lock().count_gateways(now);
+        let view = PeerView {
+            hosts,
+            missing,
+            is_isolated: false,
+        };
+        if self.limits.lock().grant(now, leadership.term, view) {
+            self.notify_granted();
+        }
+    }
+
+    /// Wakes the waiting requests of gateways with new tokens, and of other hubs.
+    pub(crate) fn notify_granted(&self) {
+        self.grants.set(self.grants.get() + 1);
+    }
+}
+
 /// Grants tokens while this host leads, until shutdown starts.
 pub(crate) async fn grant_tokens(state: Arc<HubState>, shutdown: Shutdown) {
     while shutdown.or(sleep(GRANT_INTERVAL)).await.is_some() {
@@ -147,7 +179,7 @@
     UpstreamLimit {
         upstream: limit.upstream,
         epoch: limit.epoch,
-        named: NamedLimit {
+        named: ObservedLimit {
             rate: limit.named.rate,
             age: millis(now.since(limit.named.observed)),
         },
--- a/crates/sequoiawing_link/src/lib.rs
+++ b/crates/sequoiawing_link/src/lib.rs
@@ -40,7 +40,7 @@
 };
 pub use stub::{Connect, Stub};
 pub use translation::{Translation, Translations};
-pub use upstream_limit::{LimitUpdate, NamedLimit, TokenGrant, TokenUse, UpstreamLimit};
+pub use upstream_limit::{LimitUpdate, ObservedLimit, TokenGrant, TokenUse, UpstreamLimit};
 
 pub use futures::StreamExt;
 pub use tarpc::{client::RpcError, context::Context, server::Channel};
--- a/crates/sequoiawing_link/src/upstream_limit.rs
+++ b/crates/sequoiawing_link/src/upstream_limit.rs
@@ -4,7 +4,7 @@
 /// What an answer of an upstream said of its limit.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(default)]
-pub struct NamedLimit {
+pub struct ObservedLimit {
     /// The limit; `None` if the answer named none.
     pub rate: Option<RequestRate>,
     /// The time since the answer arrived, in milliseconds.
@@ -23,7 +23,7 @@
     /// When the upstream started.
     pub epoch: u64,
     /// What its last answer to the gateway said; `None` if there was none.
-    pub named: Option<NamedLimit>,
+    pub named: Option<ObservedLimit>,
     /// The term of the issuer of the tokens.
     pub term: u64,
     /// The tokens that the gateway knows to be granted to it.
@@ -59,7 +59,7 @@
     /// When the upstream started.
     pub epoch: u64,
     /// What its last answer to any gateway said.
-    pub named: NamedLimit,
+    pub named: ObservedLimit,
     /// The number of requests of all gateways that found no token lately.
     pub unmet: u32,
     /// The gateways that have tokens; in a reply to a gateway, only its own.
--- a/tools/capacity/src/bin/upstream_limits.rs
+++ b/tools/capacity/src/bin/upstream_limits.rs
@@ -2,7 +2,7 @@
 //! `cargo run --profile deploy -p capacity --bin upstream_limits`. See
 //! docs/design/upstream-limits.md.
 
-use sequoiawing_link::{Format, LimitUpdate, NamedLimit, TokenGrant, TokenUse, UpstreamLimit};
+use sequoiawing_link::{Format, LimitUpdate, ObservedLimit, TokenGrant, TokenUse, UpstreamLimit};
 use sequoiawing_policy::serving::{
     LimitReport, NamedRate, PeerView, TokenHolder, TokenIssuer, TokenReport,
 };
@@ -61,7 +61,7 @@
     TokenUse {
         upstream: Name::from("i-7d1c19af3a"),
         epoch: 1_796_371_200_000,
-        named: Some(NamedLimit {
+        named: Some(ObservedLimit {
             rate: rate(),
             age: 350,
         }),
@@ -83,7 +83,7 @@
     let limit = UpstreamLimit {
         upstream: Name::from("i-7d1c19af3a"),
         epoch: 1_796_371_200_000,
-        named: NamedLimit {
+        named: ObservedLimit {
             rate: rate(),
             age: 350,
         },
