Count a waiting request once as demand for tokens

A request that waits is looked at again whenever an upstream changes, and each time counted as another request that wants a token (23 for 3 in the test), so that its gateway kept tokens that others could have used and callers were told to come back later than needed. Found by reading.

--- a/crates/sequoiawing_gateway/src/exchange.rs
+++ b/crates/sequoiawing_gateway/src/exchange.rs
@@ -106,6 +106,7 @@
             adapter: self.meta.adapter.clone(),
             parts: self.meta.parts.clone(),
             tried: Vec::new(),
+            is_waiting: false,
         }
     }
 }
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -147,8 +147,10 @@
     ///
     /// Returns a refusal when no slot became available.
     pub(crate) async fn acquire(&mut self, request: &BalancerRequest) -> Result<Slot, Refused> {
+        let mut waiting: Option<BalancerRequest> = None;
         loop {
             let changed = self.state.upstreams_changed.listen();
+            let request = waiting.as_ref().unwrap_or(request);
             let (until, refused) = match self.state.pick(request) {
                 PickResult::Assigned(assignment) => return Ok(self.slot(assignment)),
                 PickResult::Full(retry) => {
@@ -177,6 +179,10 @@
                 wait_ms = u64::try_from((until - now).as_millis()).unwrap_or(u64::MAX);
                 "Request waits for an upstream."
             );
+            waiting = Some(BalancerRequest {
+                is_waiting: true,
+                ..request.clone()
+            });
             sleep(until - now).or(changed).await;
         }
     }
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -41,6 +41,8 @@
     pub parts: Arc<[PromptPart]>,
     /// The upstreams that the request was already sent to.
     pub tried: Vec<Name>,
+    /// Whether it was refused before and waits. It then counts as no new demand.
+    pub is_waiting: bool,
 }
 
 /// The upstream that a request was assigned to.
@@ -279,7 +281,8 @@
         }
         // A request that goes elsewhere for want of a token is demand for one.
         let limited = best_limited.filter(|(least, _)| best.is_none_or(|(cost, _)| *least < cost));
-        let retry = limited.map(|(_, key)| self.upstreams[key].limit.refuse(now));
+        let retry =
+            limited.map(|(_, key)| self.upstreams[key].limit.refuse(now, !request.is_waiting));
         match best {
             Some((_, key)) => self.assign(now, key, request),
             None if let Some(retry) = retry => PickResult::Limited(retry),
@@ -309,7 +312,7 @@
             uncached: upstream.prefixes.uncached(&request.parts),
         };
         upstream.open += 1;
-        upstream.limit.take(now);
+        upstream.limit.take(now, !request.is_waiting);
         upstream.prefixes.record(&request.parts);
         PickResult::Assigned(assignment)
     }
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/holder.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/holder.rs
@@ -71,9 +71,8 @@
         self.unused() > 0 || self.own_share >= MICRO
     }
 
-    /// Takes a token for a request.
-    pub fn take(&mut self, now: Time) {
-        self.record_demand(now);
+    /// Takes a token for a request, which must have been counted as demand.
+    pub fn take(&mut self) {
         if self.unused() > 0 {
             self.used += 1;
         } else {
@@ -81,7 +80,7 @@
         }
     }
 
-    /// Records a request that found no token.
+    /// Counts a request for which a token is wanted.
     pub fn record_demand(&mut self, now: Time) {
         self.roll(now);
         self.demand.0 = self.demand.0.saturating_add(1);
--- a/crates/sequoiawing_policy/src/serving/upstream_limit/host_limit.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/host_limit.rs
@@ -82,16 +82,22 @@
         }
     }
 
-    /// Counts a request that is sent.
-    pub(crate) fn take(&mut self, now: Time) {
-        if self.rate().is_some() {
-            self.tokens.take(now);
+    /// Counts a request that is sent; `is_new` if it has not been refused before.
+    pub(crate) fn take(&mut self, now: Time, is_new: bool) {
+        if self.rate().is_none() {
+            return;
         }
+        if is_new {
+            self.tokens.record_demand(now);
+        }
+        self.tokens.take();
     }
 
     /// Records a request that found no token; returns when to come back.
-    pub(crate) fn refuse(&mut self, now: Time) -> Duration {
-        self.tokens.record_demand(now);
+    pub(crate) fn refuse(&mut self, now: Time, is_new: bool) -> Duration {
+        if is_new {
+            self.tokens.record_demand(now);
+        }
         let unmet = u64::from(self.told.unmet) + 1;
         self.rate()
             .map_or(Duration::ZERO, |rate| time_for(rate, unmet))
--- a/crates/sequoiawing_policy/tests/balancer.rs
+++ b/crates/sequoiawing_policy/tests/balancer.rs
@@ -2,9 +2,10 @@
 
 use sequoiawing_fleet::{RosterEntry, UpstreamState};
 use sequoiawing_policy::serving::{
-    Assignment, AttemptOutcome, Balancer, BalancerRequest, PickResult, PromptPart, ReportedLoad,
+    Assignment, AttemptOutcome, Balancer, BalancerRequest, NamedRate, PickResult, PromptPart,
+    ReportedLoad, ToldLimit,
 };
-use sequoiawing_types::{Name, Time};
+use sequoiawing_types::{Name, RequestRate, Time};
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 const SLOTS: u32 = 4;
@@ -278,3 +279,61 @@
     recent_answer_is_reported: [AttemptOutcome::Succeeded], after 500 => unreachable false, reached true;
     old_answer_is_not_reported: [AttemptOutcome::Succeeded], after 1_000 => unreachable false, reached false;
 }
+
+/// Returns two upstreams, of which the first has a limit and two tokens.
+fn limited_balancer(now: Time) -> Balancer {
+    let mut balancer = balancer(vec![upstream("a", &["m"]), upstream("b", &["n"])]);
+    let mut told = ToldLimit {
+        named: NamedRate {
+            rate: RequestRate::per_second(2.0),
+            observed: now,
+        },
+        term: 1,
+        ..ToldLimit::default()
+    };
+    for granted in [0, 2] {
+        told.granted = granted;
+        balancer.apply_limit(now, &Name::from("a"), 1, told);
+    }
+    balancer
+}
+
+#[test]
+fn a_limited_upstream_gets_a_request_for_each_token() {
+    let now = Time::from_millis(1_000);
+    let mut balancer = limited_balancer(now);
+    let picks = (0..3).map(|_| describe(&balancer.pick(now, &request("m"))).to_owned());
+    assert_eq!(picks.collect::<Vec<_>>(), ["a", "a", "limited"]);
+    assert!(balancer.unreachable(now).is_empty());
+}
+
+#[test]
+fn an_upstream_without_a_limit_is_chosen_when_the_tokens_are_used() {
+    let now = Time::from_millis(1_000);
+    let mut balancer = limited_balancer(now);
+    balancer.update(&listed(upstream("c", &["m"]), false));
+    for _ in 0..4 {
+        send(&mut balancer, now, &request("m"));
+    }
+    let load = balancer.pick(now, &request("m"));
+    assert_eq!(describe(&load), "c");
+}
+
+// Guards against tokens that are hoarded for a request that waits.
+#[test]
+fn a_waiting_request_counts_once_as_demand() {
+    let now = Time::from_millis(1_000);
+    let mut balancer = limited_balancer(now);
+    for _ in 0..3 {
+        balancer.pick(now, &request("m"));
+    }
+    let waiting = BalancerRequest {
+        is_waiting: true,
+        ..request("m")
+    };
+    for _ in 0..20 {
+        assert_eq!(describe(&balancer.pick(now, &waiting)), "limited");
+    }
+    let reports = balancer.report_limits(now);
+    assert_eq!(reports[0].2.tokens.wanted, 3);
+}
--- a/crates/sequoiawing_policy/tests/token_accounts.rs
+++ b/crates/sequoiawing_policy/tests/token_accounts.rs
@@ -73,7 +73,7 @@
     fn use_all(&mut self) -> u64 {
         let mut used = 0;
         while self.holder.has_token(self.now, self.rate, 1) {
-            self.holder.take(self.now);
+            self.holder.take();
             used += 1;
         }
         used
--- a/crates/sequoiawing_policy/tests/upstream_limit/world.rs
+++ b/crates/sequoiawing_policy/tests/upstream_limit/world.rs
@@ -276,7 +276,7 @@
         for host in &mut self.hosts {
             host.waiting.retain(|at| now.since(*at) <= REQUEST_WAIT);
             while !host.waiting.is_empty() && host.holder.has_token(now, rate, count) {
-                host.holder.take(now);
+                host.holder.take();
                 host.waiting.remove(0);
                 self.sent.push(now);
             }
