Start an issuer in debt for a limit that it first hears of

A hub that became the leader without having heard of a limit granted tokens at once, beside those of its predecessor that gateways still held (3 in the test). It now starts in debt by the bound if the first report knows another issuer, as for limits that it had heard of. Found by reading; the test failed before and passes.

--- a/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
+++ b/crates/sequoiawing_policy/src/serving/upstream_limit/issuer.rs
@@ -218,16 +218,17 @@
             return;
         }
         if known.is_none_or(|limit| limit.epoch < report.epoch) {
-            let is_limited = report.named.is_some_and(|named| named.rate.is_some());
-            if !is_limited {
+            let Some(rate) = report.named.and_then(|named| named.rate) else {
                 self.limits.remove(&report.upstream);
                 return;
-            }
+            };
+            // A host that knows an issuer may hold tokens of another one.
+            let has_issuer = report.tokens.term > 0;
             let limit = Limit {
                 epoch: report.epoch,
                 named: NamedLimit::default(),
                 reported: now,
-                credit: 0,
+                credit: if has_issuer { -Limit::burst(rate) } else { 0 },
                 updated: now,
                 turn: 0,
                 accounts: BTreeMap::new(),
--- a/crates/sequoiawing_policy/tests/token_accounts.rs
+++ b/crates/sequoiawing_policy/tests/token_accounts.rs
@@ -9,6 +9,7 @@
 /// An issuer and the holder of one host, without delays.
 struct Pair {
     now: Time,
+    term: u64,
     rate: RequestRate,
     issuer: TokenIssuer,
     holder: TokenHolder,
@@ -20,6 +21,7 @@
         issuer.set_term(Time::ZERO, TERM);
         Self {
             now: Time::ZERO,
+            term: TERM,
             rate: RequestRate::per_second(rate).expect("the rate must be valid"),
             issuer,
             holder: TokenHolder::default(),
@@ -66,7 +68,8 @@
         let limits = self.issuer.limits();
         let mut grants = limits.iter().flat_map(|limit| &limit.grants);
         let (granted, settled) = grants.next().map_or((0, 0), |g| (g.granted, g.settled));
-        self.holder.apply_grant(self.now, TERM, granted, settled);
+        self.holder
+            .apply_grant(self.now, self.term, granted, settled);
     }
 
     /// Uses all tokens of the host, and returns their number.
@@ -155,3 +158,18 @@
     let used = pair.use_all();
     assert!(used <= 5, "{used} tokens were granted at the lower limit");
 }
+
+// Guards against a burst of the tokens of two issuers, of which the second had not
+// heard of the limit.
+#[test]
+fn an_issuer_that_first_hears_of_a_limit_may_have_had_a_predecessor() {
+    let mut pair = Pair::new(2.0);
+    pair.pass(Duration::from_secs(10));
+    pair.issuer = TokenIssuer::default();
+    pair.issuer.set_term(pair.now, TERM + 1);
+    pair.term = TERM + 1;
+    pair.pass(Duration::from_secs(2));
+    assert_eq!(pair.use_all(), 0);
+    pair.pass(Duration::from_secs(4));
+    assert!(pair.use_all() > 0, "the host must get tokens again");
+}
