Runners are told how urgent each request is

Cause: ranks of routes and customers were decoded and used nowhere; all requests ran with the middle urgency. Change: each attempt names its urgency: the customer's rank, or else the route's, and within one rank the route's. Ruled out: refusing less urgent requests at the gateway; it does not know what a runner reads just now.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -190,6 +190,7 @@
         upstream: slot.upstream(),
         remaining: exchange.remaining(state.now()),
         customer: exchange.customer.as_ref().map(|c| &c.name),
+        urgency: exchange.urgency(),
         last_event_id: last_event_id.or(exchange.meta.last_event_id),
     };
     state
--- a/crates/sequoiawing_gateway/src/dialect.rs
+++ b/crates/sequoiawing_gateway/src/dialect.rs
@@ -56,6 +56,9 @@
     pub remaining: Duration,
     /// The customer; `None` on open routes.
     pub customer: Option<&'a Name>,
+    /// How urgent the request is, from 0, which upstreams run first, to
+    /// [`LEAST_URGENCY`](crate::LEAST_URGENCY).
+    pub urgency: u32,
     /// The id of the event after which the upstream resumes the stream.
     pub last_event_id: Option<u64>,
 }
--- a/crates/sequoiawing_gateway/src/exchange.rs
+++ b/crates/sequoiawing_gateway/src/exchange.rs
@@ -9,6 +9,13 @@
     time::Duration,
 };
 
+/// The urgency of the requests that upstreams run last.
+pub const LEAST_URGENCY: u32 = 9;
+
+/// The number of urgencies within one rank, by which the ranks of routes order the
+/// requests of customers of one rank.
+const URGENCIES_PER_RANK: u32 = 3;
+
 /// The state of one request as it passes through a gateway's filters.
 ///
 /// Each filter sets the fields that it decides and reads those set before.
@@ -102,6 +109,14 @@
         customer_rank.unwrap_or(self.route.rank)
     }
 
+    /// Returns how urgent the request is, from 0 to [`LEAST_URGENCY`]: by its rank, and
+    /// among requests of one rank by their routes'.
+    pub fn urgency(&self) -> u32 {
+        let route_rank = self.route.rank.min(URGENCIES_PER_RANK - 1);
+        let urgency = self.rank().saturating_mul(URGENCIES_PER_RANK);
+        urgency.saturating_add(route_rank).min(LEAST_URGENCY)
+    }
+
     /// Returns the adapter's or model's name for logs; empty without one.
     pub(crate) fn model(&self) -> &str {
         let name = self.meta.adapter.as_ref().or(self.meta.model.as_ref());
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -29,6 +29,6 @@
 
 pub use daemon::Gateway;
 pub use dialect::{Attempt, Dialect, LimitNotice, RequestMeta, ResponseHead, ResponseKind};
-pub use exchange::GatewayExchange;
+pub use exchange::{GatewayExchange, LEAST_URGENCY};
 pub use settings::GatewaySettings;
 pub use state::GatewayState;
