--- a/crates/sequoiawing_hub/src/loader.rs
+++ b/crates/sequoiawing_hub/src/loader.rs
@@ -147,6 +147,7 @@
                 requests: demand.asked,
                 missed: demand.missed,
                 saturated: demand.crowded,
+                late: 0,
             });
         }
         self.handle_event(LoaderEvent::Tick);
--- a/crates/sequoiawing_policy/src/serving/loader/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/mod.rs
@@ -71,6 +71,8 @@
         missed: u64,
         /// How many of them found all such upstreams full.
         saturated: u64,
+        /// How many answers began late because their upstream was busy.
+        late: u64,
     },
     /// An engine replied to an order.
     OrderAnswered {
@@ -186,6 +188,7 @@
                 requests,
                 missed,
                 saturated,
+                late: _,
             } => {
                 let sample = DemandSample {
                     requests,
--- a/crates/sequoiawing_policy/tests/loader/main.rs
+++ b/crates/sequoiawing_policy/tests/loader/main.rs
@@ -123,3 +123,99 @@
         );
     }
 }
+
+/// Demand moves to a model with one replica, and rare models take turns beside it.
+/// Guards against replicas that are added at a fixed rate of requests, whatever an
+/// engine serves, and that give way to the next rare model.
+#[test]
+fn model_with_late_answers_gets_replicas_that_stay() {
+    for seed in 0..8 {
+        let mut world = World::new(seed, Faults::default());
+        world.is_idle = true;
+        let model = Name::from("m0");
+        let mut single = 0;
+        for step in 0..300_u32 {
+            if world.replicas(&model) < 2 {
+                // The first load of the replica may wait for another one.
+                single += u32::from(step > 100);
+                world.request_late(&model, 1);
+            } else {
+                world.request(&model, 1);
+            }
+            if step % 10 == 0 {
+                let rare = world.unloaded_on_disk();
+                world.miss(&rare);
+            }
+            world.run(Duration::from_millis(100));
+        }
+        assert!(
+            single <= 10,
+            "seed {seed}: one replica for {single} of 200 steps"
+        );
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// A few late answers among many have other causes.
+#[test]
+fn few_late_answers_add_no_replica() {
+    let mut world = World::new(1, Faults::default());
+    world.is_idle = true;
+    let model = Name::from("m0");
+    world.run(Duration::from_secs(3));
+    let before = world.replicas(&model);
+    for step in 0..200 {
+        world.request(&model, 1);
+        if step % 20 == 0 {
+            world.request_late(&model, 1);
+        }
+        world.run(Duration::from_millis(100));
+    }
+    assert_eq!(world.replicas(&model), before);
+}
+
+/// Twelve adapters of one model are asked for in turn, and an engine has room for eight.
+/// Guards against adapters that push each other out of one engine for ever, each holding
+/// up all other orders until its requests have ended.
+#[test]
+fn model_with_more_adapters_than_slots_gets_a_replica() {
+    let mut world = World::new(1, Faults::default());
+    world.is_idle = true;
+    let model = Name::from("m0");
+    let mut missed = 0;
+    for step in 0..240 {
+        let is_loaded = world.request_adapter(&model, step % 12);
+        missed += u32::from(step >= 120 && !is_loaded);
+        world.run(Duration::from_millis(100));
+    }
+    assert!(
+        missed <= 12,
+        "{missed} of 120 requests missed their adapter"
+    );
+    assert_eq!(world.adapters_interrupted, 0, "adapters in use gave way");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// An adapter is asked for again and again while others come and go.
+/// Guards against adapters that give way by their age, however much they are used.
+#[test]
+fn adapter_in_use_does_not_give_way_to_others() {
+    let mut world = World::new(1, Faults::default());
+    world.is_idle = true;
+    let model = Name::from("m0");
+    let mut missed = 0;
+    for step in 0..200 {
+        let is_loaded = world.request_adapter(&model, 0);
+        // The first load may wait for one of a model.
+        missed += u32::from(step >= 80 && !is_loaded);
+        if step % 50 == 0 {
+            world.request_adapter(&model, 1 + step / 50);
+        }
+        if step % 10 == 0 {
+            world.request_adapter(&Name::from("m1"), step / 10);
+        }
+        world.run(Duration::from_millis(100));
+    }
+    assert_eq!(missed, 0, "requests missed an adapter in steady use");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
--- a/crates/sequoiawing_policy/tests/loader/world.rs
+++ b/crates/sequoiawing_policy/tests/loader/world.rs
@@ -17,6 +17,9 @@
 const ENGINES: usize = 4;
 const MODELS: usize = 16;
 const CAPACITY: u64 = 200_000;
+/// The duration of a run of an adapter.
+const ADAPTER_RUN: Duration = Duration::from_secs(3);
+const ADAPTER_SLOTS: usize = 8;
 const STEP: Duration = Duration::from_millis(10);
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1_200);
 
@@ -40,6 +43,7 @@
     epoch: u64,
     sequence: u64,
     loaded: BTreeSet<Name>,
+    adapters: BTreeSet<Name>,
     disk: BTreeSet<Name>,
     /// The model being loaded, whether it comes from the weight store, and the
     /// completion time.
@@ -66,6 +70,10 @@
     /// Whether random requests are switched off.
     pub(crate) is_idle: bool,
     faults: Faults,
+    /// When the last run of each adapter ends.
+    adapter_runs: BTreeMap<Name, Time>,
+    /// The adapters that were unloaded while they ran requests.
+    pub(crate) adapters_interrupted: usize,
     rng: ChaCha8Rng,
     catalog: Arc<Catalog>,
     engines: BTreeMap<Name, Engine>,
@@ -102,7 +110,7 @@
         });
         let engine = EngineSpec {
             weights: CAPACITY,
-            adapter_slots: 8,
+            adapter_slots: u32::try_from(ADAPTER_SLOTS).expect("few slots"),
             load_rate: 7_700,
             models: models.collect(),
             ..EngineSpec::default()
@@ -122,6 +130,8 @@
             store_loads: 0,
             peak_store_loads: 0,
             is_idle: false,
+            adapter_runs: BTreeMap::new(),
+            adapters_interrupted: 0,
             faults,
             rng: ChaCha8Rng::seed_from_u64(seed),
             catalog: Arc::new(catalog),
@@ -140,6 +150,7 @@
                 epoch: 1,
                 sequence: 0,
                 loaded: held.into(),
+                adapters: BTreeSet::new(),
                 disk: disk.chain([model(2 * i), model(2 * i + 1)]).collect(),
                 loading: None,
                 evicting: None,
@@ -228,9 +239,43 @@
             requests,
             missed,
             saturated: 0,
+            late: 0,
         });
     }
 
+    /// Sends requests for a model whose answers come late.
+    pub(crate) fn request_late(&mut self, model: &Name, requests: u64) {
+        self.handle(LoaderEvent::Demand {
+            pool: pool(),
+            model: model.clone(),
+            adapter: None,
+            requests,
+            missed: 0,
+            saturated: 0,
+            late: requests,
+        });
+    }
+
+    /// Sends a request for an adapter; returns whether an engine had it.
+    pub(crate) fn request_adapter(&mut self, model: &Name, number: usize) -> bool {
+        let adapter = Name::from(format!("{model}:a{number}"));
+        let is_loaded = self.engines.values().any(|e| e.adapters.contains(&adapter));
+        if is_loaded {
+            let until = self.now + ADAPTER_RUN;
+            self.adapter_runs.insert(adapter.clone(), until);
+        }
+        self.handle(LoaderEvent::Demand {
+            pool: pool(),
+            model: model.clone(),
+            adapter: Some(adapter),
+            requests: 1,
+            missed: u64::from(!is_loaded),
+            saturated: 0,
+            late: 0,
+        });
+        is_loaded
+    }
+
     pub(crate) fn saturate(&mut self, model: &Name) {
         self.handle(LoaderEvent::Demand {
             pool: pool(),
@@ -239,6 +284,7 @@
             requests: 1,
             missed: 0,
             saturated: 1,
+            late: 0,
         });
     }
 
@@ -367,7 +413,26 @@
                 let duration = self.rng.random_range(0..600);
                 engine.evicting = Some((model.clone(), now + Duration::from_millis(duration)));
             }
-            _ => return EngineReply::Rejected,
+            OrderKind::LoadAdapter { adapter } => {
+                if engine.adapters.len() >= ADAPTER_SLOTS {
+                    self.violations
+                        .push(format!("{now} {name}: no slot for {adapter}"));
+                }
+                engine.adapters.insert(adapter.clone());
+            }
+            OrderKind::UnloadAdapter { adapter } => {
+                engine.adapters.remove(adapter);
+                let until = self.adapter_runs.get(adapter).copied();
+                if let Some(until) = until.filter(|until| *until > now) {
+                    // The engine is busy until the runs of the adapter have ended.
+                    engine.evicting = Some((adapter.clone(), until));
+                    self.adapters_interrupted += 1;
+                } else {
+                    engine.accepted += 1;
+                    return EngineReply::Holds;
+                }
+            }
+            OrderKind::Fence => return EngineReply::Rejected,
         }
         engine.accepted += 1;
         EngineReply::Started
@@ -448,6 +513,7 @@
         self.epoch += 1;
         self.sequence = 0;
         self.loaded.clear();
+        self.adapters.clear();
         self.loading = None;
         self.evicting = None;
         self.accepted = 0;
@@ -466,6 +532,8 @@
         if let Some((model, until)) = &self.evicting
             && now >= *until
         {
+            let prefix = format!("{model}:");
+            self.adapters.retain(|a| !a.as_str().starts_with(&prefix));
             self.loaded.remove(model);
             self.evicting = None;
             return true;
@@ -478,7 +546,7 @@
             busy: self.is_busy(),
             accepted: self.accepted,
             loaded: self.loaded.iter().cloned().collect(),
-            adapters: Vec::new(),
+            adapters: self.adapters.iter().cloned().collect(),
         };
         self.history.push((now, report));
         self.history
@@ -493,6 +561,7 @@
             sequence: self.sequence,
             slots: 64,
             loaded: self.loaded.iter().cloned().collect(),
+            adapters: self.adapters.iter().cloned().collect(),
             disk: self.disk.iter().cloned().collect(),
             ..UpstreamState::default()
         }
