Replicas follow late answers, adapters in use stay, loads are requested directly

Causes: one replica was held to serve 20 requests a second, whatever a request takes; the adapter that gave way was the oldest one, in use or not; a request that waits for a load was not woken when the load ended; demand and news of loads travel with reports, whose pause grows with the number of gateways.

Change: gateways report answers that began late although their prompt is no longer than the average of their route (LatenessMeter); the loader learns from them what a replica serves in time, loads another and keeps it. Adapters give way by last use; with none idle, the model gets a replica, and only after 3 s one in use gives way. A waiting request is woken when its load is due. A gateway that lacks a model asks the leader's hub, through any hub, and is answered with the order; failing that the demand goes with the report as before.

Ruled out: a learned capacity that recovers within 30 s (replicas came and went); the minimum of all learned capacities (learned while the rate was still rising, too many replicas); counting replicas that are still being loaded.

--- a/crates/sequoiawing_gateway/src/hub_sync.rs
+++ b/crates/sequoiawing_gateway/src/hub_sync.rs
@@ -4,7 +4,7 @@
 use futures_lite::FutureExt;
 use parking_lot::Mutex;
 use sequoiawing_fleet::Cursor;
-use sequoiawing_link::{GatewayReport, HubClient, HubInfo, Secret, Stub, SyncReply};
+use sequoiawing_link::{GatewayReport, HubClient, HubInfo, Stub, SyncReply};
 use sequoiawing_policy::serving::{HubRole, HubStatus};
 use sequoiawing_runtime::{Shutdown, Task, sleep, spawn};
 use std::{
@@ -116,11 +116,11 @@
 
 impl HubSession {
     fn new(state: Arc<GatewayState>, hub: SocketAddr) -> Self {
-        let secret = Secret::from(state.settings.secret.as_str());
+        let stub = state.hub_stub(hub);
         Self {
             state,
             hub,
-            stub: Stub::new(hub, secret),
+            stub,
             sync_position: Mutex::default(),
         }
     }
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -32,6 +32,8 @@
     attempts: u32,
     source: Option<Box<Source>>,
     events: SseSplitter,
+    /// Whether an event was passed on.
+    has_begun: bool,
     is_finished: bool,
 }
 
@@ -54,6 +56,7 @@
         attempts,
         source: Some(source),
         events: SseSplitter::default(),
+        has_begun: false,
         is_finished: false,
     };
     let stream = unfold(relay, async |mut relay| {
@@ -76,7 +79,10 @@
                         self.abort(AttemptOutcome::Failed, "the request's deadline has passed")
                     ));
                 }
-                Some(Ok(Some(events))) => return Some(Ok(events)),
+                Some(Ok(Some(events))) => {
+                    self.record_first_event();
+                    return Some(Ok(events));
+                }
                 Some(Ok(None)) => {
                     self.finish("whole");
                     return None;
@@ -90,6 +96,17 @@
         }
     }
 
+    /// Records the latency of the first event of a stream of a single attempt.
+    fn record_first_event(&mut self) {
+        let has_begun = std::mem::replace(&mut self.has_begun, true);
+        let source = self.source.as_ref();
+        if let Some(source) = source.filter(|_| !has_begun && self.attempts <= 1) {
+            let (exchange, request) = (&self.exchange, &self.request);
+            self.state
+                .record_first_event(exchange, request, &source.slot);
+        }
+    }
+
     /// Returns when another upstream is tried beside a silent one.
     fn hedge_settings(&self) -> HedgeSettings {
         let route = &self.exchange.route;
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -173,6 +173,9 @@
             if now >= until {
                 return Err(refused);
             }
+            // A load that ends changes no state here.
+            let expected = self.state.next_expected(request);
+            let wake = expected.map_or(until, |ready| until.min(ready));
             log::debug!(
                 target: "gateway", request = self.exchange.meta.id.as_str(),
                 cause = refused.message.as_str(),
@@ -183,7 +186,7 @@
                 is_waiting: true,
                 ..request.clone()
             });
-            sleep(until - now).or(changed).await;
+            sleep(wake - now).or(changed).await;
         }
     }
 
@@ -222,23 +225,26 @@
     /// Returns the time until which a request waits for a model that no upstream
     /// has loaded, and the refusal after it.
     fn wait_for_model(&mut self, request: &BalancerRequest) -> (Time, Refused) {
-        self.record_demand(request, DemandEvent::ModelMissing);
         let now = self.state.now();
+        let remaining = self.exchange.remaining(self.started);
+        // Whether the model will be loaded is known once the leader has ordered it, or
+        // once a report has reached the leader and its order has come back.
+        let notice = self
+            .state
+            .propagation_delay()
+            .min(remaining / PROPAGATION_WAIT_DIVISOR);
+        if !self.is_demand_recorded {
+            self.is_demand_recorded = true;
+            self.state.request_load(request, notice);
+        }
         let name = request.adapter.as_ref().or(request.model.as_ref());
         let ready = name.and_then(|model| self.state.time_until_loaded(&request.pool, model));
         let refuse = |retry| {
             let problem = "no upstream has the model loaded";
             Refused::new(Code::NoUpstream, problem).with_retry_after(retry)
         };
-        let remaining = self.exchange.remaining(self.started);
         let Some(ready) = ready else {
-            // Whether the model will be loaded is known once a report has reached
-            // the leader and its order has come back.
-            let delay = self
-                .state
-                .propagation_delay()
-                .min(remaining / PROPAGATION_WAIT_DIVISOR);
-            let until = (self.started + delay).max(self.capacity_deadline());
+            let until = (self.started + notice).max(self.capacity_deadline());
             return (until, refuse(MODEL_MISSING_RETRY));
         };
         let wait = ready + LOAD_SLACK;
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -1,8 +1,9 @@
 use crate::{
-    Dialect, GatewaySettings,
+    Dialect, GatewayExchange, GatewaySettings,
     cluster_view::{ClusterView, DISCONNECTED_AFTER, HubView},
     quarantine::QuarantineState,
     response_body::BodyBuffers,
+    slots::Slot,
     upstream_connector::UpstreamConnector,
 };
 use arc_swap::ArcSwap;
@@ -12,17 +13,18 @@
 use sequoiawing_fleet::{Cursor, Interest, Roster, RosterEntry};
 use sequoiawing_http::Client as HttpClient;
 use sequoiawing_link::{
-    DemandBatch, ModelDemand, OrderedLoads, PlannedLoad, Secret, SyncReply, Translations,
+    DemandBatch, HubClient, ModelDemand, OrderedLoads, PlannedLoad, Secret, Stub, SyncReply,
+    Translations,
 };
 use sequoiawing_policy::serving::{
     Assignment, AttemptOutcome, Balancer, BalancerRequest, HubRole, HubSelector, HubStatus,
-    PeerView, PickResult, ReportedLoad, RetryWindow, SharedTokenBucket,
+    LatenessMeter, PeerView, PickResult, ReportedLoad, RetryWindow, SharedTokenBucket,
 };
 use sequoiawing_runtime::Clock;
 use sequoiawing_telemetry::Meters;
 use sequoiawing_types::{Name, Time};
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     net::{IpAddr, SocketAddr},
     sync::{
         Arc,
@@ -36,6 +38,10 @@
 /// later.
 const LOAD_SLACK: Duration = Duration::from_millis(250);
 
+/// How long a load that was requested counts after it was due. By then the
+/// upstream's announcement has arrived.
+const REQUESTED_TTL: Duration = Duration::from_millis(2_500);
+
 /// The time from a report of a missing model to the leader's order, including
 /// the forwarding of both by hubs.
 const PROPAGATION_TIME: Duration = Duration::from_millis(150);
@@ -59,6 +65,27 @@
     last_number: u64,
 }
 
+/// Returns loads with the times at which they are due.
+fn due_loads(now: Time, loads: Vec<PlannedLoad>) -> Vec<(Time, PlannedLoad)> {
+    // `Time` can't precede this process's start, so overdue loads count as due now.
+    let due = |load: &PlannedLoad| match load.late {
+        0 => now + Duration::from_millis(load.ready),
+        _ => now,
+    };
+    loads.into_iter().map(|load| (due(&load), load)).collect()
+}
+
+/// Returns the upstream of a load, the model or adapter, and when it counts as loaded.
+fn expected_load((due, load): &(Time, PlannedLoad)) -> (Name, Name, Time) {
+    let is_announced = !load.model.as_str().contains(':') && load.ready > 0;
+    let slack = if is_announced {
+        LOAD_SLACK
+    } else {
+        Duration::ZERO
+    };
+    (load.upstream.clone(), load.model.clone(), *due + slack)
+}
+
 /// Creates the metrics if an address to scrape them is configured.
 fn create_meters(settings: &GatewaySettings) -> Option<Arc<Meters>> {
     settings.metrics?;
@@ -79,9 +106,11 @@
     ModelMissing,
     /// All upstreams with the model were full.
     Saturated,
+    /// An answer began late because its upstream was busy.
+    Late,
 }
 
-type DemandKey = (Name, Name, Option<Name>);
+pub(crate) type DemandKey = (Name, Name, Option<Name>);
 
 /// The state shared by a gateway's filters and tasks.
 ///
@@ -100,6 +129,10 @@
     rates: Mutex<HashMap<Name, SharedTokenBucket>>,
     retries: Mutex<HashMap<Name, RetryWindow>>,
     demand: Mutex<DemandQueue>,
+    lateness: Mutex<LatenessMeter>,
+    /// What hubs are being asked to load.
+    pub(crate) load_requests: Mutex<HashSet<DemandKey>>,
+    hub_stubs: Mutex<HashMap<SocketAddr, Stub<HubClient>>>,
     cluster: Mutex<ClusterView>,
     pub(crate) hubs: Mutex<HubSelector>,
     /// Notified when the roles of hubs may have changed.
@@ -147,6 +180,9 @@
             rates: Mutex::default(),
             retries: Mutex::default(),
             demand: Mutex::default(),
+            lateness: Mutex::default(),
+            load_requests: Mutex::default(),
+            hub_stubs: Mutex::default(),
             cluster: Mutex::default(),
             hubs: Mutex::new(hubs),
             hubs_changed: Event::new(),
@@ -267,11 +303,32 @@
             }
             DemandEvent::ModelMissing => demand.missed += 1,
             DemandEvent::Saturated => demand.crowded += 1,
+            DemandEvent::Late => {
+                demand.late += 1;
+                return;
+            }
         }
         drop(queue);
         self.urgent_report.notify(usize::MAX);
     }
 
+    /// Records when the first event of a stream arrived from the upstream to which its
+    /// request was assigned at `assigned`.
+    pub(crate) fn record_first_event(
+        &self,
+        exchange: &GatewayExchange,
+        request: &BalancerRequest,
+        slot: &Slot,
+    ) {
+        let elapsed = self.now().since(slot.assigned);
+        let (route, target) = (&exchange.route.name, exchange.route.target_latency());
+        let tokens = slot.assignment.uncached;
+        let is_late = self.lateness.lock().record(route, tokens, elapsed, target);
+        if is_late {
+            self.record_demand(request, DemandEvent::Late);
+        }
+    }
+
     /// Returns the unacknowledged demand batches, with one for new demand.
     pub(crate) fn demand_batches(&self) -> Vec<DemandBatch> {
         let mut queue = self.demand.lock();
@@ -296,6 +353,16 @@
         queue.batches.retain(|b| b.number > last_number);
     }
 
+    /// Returns the client of a hub.
+    pub(crate) fn hub_stub(&self, hub: SocketAddr) -> Stub<HubClient> {
+        let mut stubs = self.hub_stubs.lock();
+        let stub = stubs.entry(hub).or_insert_with(|| {
+            let secret = Secret::from(self.settings.secret.as_str());
+            Stub::new(hub, secret)
+        });
+        stub.clone()
+    }
+
     /// Returns the role of a hub.
     pub(crate) fn hub_role(&self, hub: SocketAddr) -> HubRole {
         self.hubs.lock().role(self.now(), hub)
@@ -359,6 +426,11 @@
         self.balancer.lock().pick(self.now(), request)
     }
 
+    /// Returns when the next load is expected to finish that a request waits for.
+    pub(crate) fn next_expected(&self, request: &BalancerRequest) -> Option<Time> {
+        self.balancer.lock().next_expected(self.now(), request)
+    }
+
     /// Returns the upstreams that recently could not be reached.
     pub(crate) fn unreachable(&self) -> Vec<Name> {
         self.balancer.lock().unreachable(self.now())
@@ -400,7 +472,7 @@
     pub(crate) fn time_until_loaded(&self, pool: &Name, model: &Name) -> Option<Duration> {
         let now = self.now();
         let cluster = self.cluster.lock();
-        let loads = cluster.loads.iter();
+        let loads = cluster.loads();
         let matching = loads.filter(|(_, l)| l.pool == *pool && l.model == *model);
         matching.map(|(at, _)| at.since(now)).min()
     }
@@ -465,29 +537,29 @@
             return;
         }
         cluster.term = ordered.term;
-        // `Time` can't precede this process's start, so overdue loads count as due
-        // now.
-        let at = |l: &PlannedLoad| match l.late {
-            0 => now + Duration::from_millis(l.ready),
-            _ => now,
-        };
-        let loads = ordered.loads.into_iter();
-        let loads: Vec<(Time, PlannedLoad)> = loads.map(|l| (at(&l), l)).collect();
-        let expected = loads.iter();
-        let expected = expected.map(|(at, l)| {
-            let is_adapter = l.model.as_str().contains(':');
-            let slack = if is_adapter {
-                Duration::ZERO
-            } else {
-                LOAD_SLACK
-            };
-            (l.upstream.clone(), l.model.clone(), *at + slack)
-        });
+        cluster.loads = due_loads(now, ordered.loads);
+        cluster
+            .requested
+            .retain(|(due, _)| now < *due + REQUESTED_TTL);
         let mut balancer = self.balancer.lock();
-        balancer.set_expected(expected);
+        balancer.set_expected(cluster.loads().map(expected_load));
         balancer.set_evicted(ordered.evicted);
-        drop(balancer);
-        cluster.loads = loads;
+    }
+
+    /// Applies the loads that the leader's hub named in reply to a request for them.
+    /// Reports and their replies are slower in large deployments, and may be older.
+    pub(crate) fn apply_requested(&self, ordered: OrderedLoads) {
+        let now = self.now();
+        let mut cluster = self.cluster.lock();
+        if ordered.term < cluster.term {
+            return;
+        }
+        let requested = due_loads(now, ordered.loads);
+        let expected = requested.iter().map(expected_load);
+        self.balancer.lock().add_expected(expected);
+        cluster.requested.extend(requested);
+        drop(cluster);
+        self.upstreams_changed.notify(usize::MAX);
     }
 
     /// Applies the usage of all gateways. A customer that the hub does not list
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -12,9 +12,9 @@
 use sequoiawing_controller::ControllerHandle;
 use sequoiawing_fleet::{Interest, Roster, UpstreamState};
 use sequoiawing_link::{
-    ControlError, GatewayReport, Hub as _, HubClient, HubInfo, LinkListener, MirrorReply,
-    MirrorRequest, ModelDemand, OrderedLoads, PlannedLoad, QuarantineReport, Secret, Stub,
-    SyncReply, connection_handler,
+    ControlError, GatewayReport, Hub as _, HubClient, HubInfo, LinkListener, LoadRequest,
+    MirrorReply, MirrorRequest, ModelDemand, OrderedLoads, PlannedLoad, QuarantineReport, Secret,
+    Stub, SyncReply, connection_handler,
 };
 use sequoiawing_runtime::{Clock, Shutdown, Watch, sleep, spawn, timeout};
 use sequoiawing_tables::{Command, Outcome};
@@ -305,7 +305,7 @@
     }
 
     /// Returns the loads that the leader ordered, with times relative to `now`.
-    fn ordered_loads(&self, now: Time) -> Option<OrderedLoads> {
+    pub(crate) fn ordered_loads(&self, now: Time) -> Option<OrderedLoads> {
         let ordered = self.ordered_loads.lock().clone();
         let (at, ordered) = ordered.filter(|(at, _)| now.since(*at) <= ORDERED_LOADS_TTL)?;
         let age = millis(now.since(at));
@@ -320,6 +320,30 @@
         })
     }
 
+    /// Returns the upstreams that announce what a request for a load asks for, without
+    /// those that were ordered to unload it.
+    pub(crate) fn holders(&self, request: &LoadRequest) -> Vec<Name> {
+        let demand = &request.demand;
+        let roster = self.roster.lock();
+        let live = roster.live().filter(|state| state.pool == demand.pool);
+        let holders = live.filter(|state| {
+            let has_adapter = |adapter| state.has_adapter(adapter);
+            state.has_model(&demand.model)
+                && demand.adapter.as_ref().is_none_or(has_adapter)
+                && !state.leaving
+        });
+        let mut holders: Vec<Name> = holders.map(|state| state.name.clone()).collect();
+        drop(roster);
+        if let Some((_, ordered)) = &*self.ordered_loads.lock() {
+            let is_evicted = |name: &Name| {
+                let mut evicted = ordered.evicted.iter();
+                evicted.any(|(n, m)| n == name && *m == demand.model)
+            };
+            holders.retain(|name| !is_evicted(name));
+        }
+        holders
+    }
+
     fn expire(&self) {
         let now = self.now();
         self.roster.lock().expire(now);
--- a/crates/sequoiawing_hub/src/lib.rs
+++ b/crates/sequoiawing_hub/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod handover;
 mod hub;
+mod load_request;
 mod loader;
 mod mirror;
 mod poison;
--- /dev/null
+++ b/crates/sequoiawing_hub/src/load_request.rs
@@ -0,0 +1,85 @@
+//! Answers gateways that wait for the load of a model or adapter.
+//!
+//! In a large deployment reports and their replies are up to half a second apart, which
+//! is longer than many loads take.
+
+use crate::hub::HubState;
+use sequoiawing_link::{HubClient, LoadRequest, OrderedLoads, PlannedLoad};
+use sequoiawing_runtime::timeout;
+use std::time::Duration;
+
+/// The time that a call to the leader's hub may take in addition to its wait.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(200);
+
+impl HubState {
+    /// Adds the demand of a request for a load, and returns the loads that meet it, if
+    /// there are any before the wait is over.
+    pub(crate) async fn request_load(&self, request: LoadRequest) -> Option<OrderedLoads> {
+        if self.handle.leadership().is_none() {
+            return self.forward(request).await;
+        }
+        self.add_demand(vec![request.demand.clone()]);
+        let wait = Duration::from_millis(request.wait);
+        let is_known = |_: &u64| self.knows_load(&request);
+        timeout(wait, self.changes.wait_until(is_known)).await;
+        Some(self.loads_for(&request))
+    }
+
+    /// Passes a request on to the leader's hub, unless another hub did so before.
+    async fn forward(&self, request: LoadRequest) -> Option<OrderedLoads> {
+        let leader = self.handle.status().leader?;
+        if request.is_forwarded {
+            return None;
+        }
+        let limit = Duration::from_millis(request.wait) + FORWARD_TIMEOUT;
+        let request = LoadRequest {
+            is_forwarded: true,
+            ..request
+        };
+        let call = async |client: HubClient, context| client.request_load(context, request).await;
+        match self.stub(leader.ip()).call(limit, call).await {
+            Ok(ordered) => ordered,
+            Err(error) => {
+                log::info!(target: "hub", leader = leader.ip().to_string(); "The leader's hub did not answer a request for a load: {error}.");
+                None
+            }
+        }
+    }
+
+    /// Returns whether an engine carries out a load that meets the request, or has done so.
+    fn knows_load(&self, request: &LoadRequest) -> bool {
+        let ordered = self.ordered_loads.lock();
+        let mut loads = ordered.iter().flat_map(|(_, ordered)| &ordered.loads);
+        let is_underway = loads.any(|load| is_met(request, load));
+        drop(ordered);
+        is_underway || !self.holders(request).is_empty()
+    }
+
+    /// Returns the ordered loads that meet a request, with those that are done.
+    fn loads_for(&self, request: &LoadRequest) -> OrderedLoads {
+        let ordered = self.ordered_loads(self.now()).unwrap_or_default();
+        let underway = ordered.loads.into_iter();
+        let underway = underway.filter(|load| is_met(request, load));
+        let done = self
+            .holders(request)
+            .into_iter()
+            .map(|upstream| PlannedLoad {
+                pool: request.demand.pool.clone(),
+                model: request.target().clone(),
+                upstream,
+                ..PlannedLoad::default()
+            });
+        OrderedLoads {
+            term: ordered.term,
+            loads: underway.chain(done).collect(),
+            evicted: Vec::new(),
+        }
+    }
+}
+
+/// Returns whether a load is one that a request asks for, and that an engine carries out.
+fn is_met(request: &LoadRequest, load: &PlannedLoad) -> bool {
+    load.model == *request.target()
+        && load.pool == request.demand.pool
+        && !load.upstream.as_str().is_empty()
+}
--- a/crates/sequoiawing_hub/src/loader.rs
+++ b/crates/sequoiawing_hub/src/loader.rs
@@ -147,7 +147,7 @@
                 requests: demand.asked,
                 missed: demand.missed,
                 saturated: demand.crowded,
-                late: 0,
+                late: demand.late,
             });
         }
         self.handle_event(LoaderEvent::Tick);
--- a/crates/sequoiawing_hub/src/service.rs
+++ b/crates/sequoiawing_hub/src/service.rs
@@ -1,8 +1,8 @@
 use crate::hub::HubState;
 use sequoiawing_catalog::Document;
 use sequoiawing_link::{
-    Context, ControlError, GatewayReport, Hub, HubInfo, MirrorReply, MirrorRequest, ModelDemand,
-    SyncReply,
+    Context, ControlError, GatewayReport, Hub, HubInfo, LoadRequest, MirrorReply, MirrorRequest,
+    ModelDemand, OrderedLoads, SyncReply,
 };
 use std::sync::Arc;
 
@@ -25,6 +25,10 @@
         self.state.mirror(&request).await
     }
 
+    async fn request_load(self, _: Context, request: LoadRequest) -> Option<OrderedLoads> {
+        self.state.request_load(request).await
+    }
+
     async fn demand(self, _: Context, demand: Vec<ModelDemand>) {
         self.state.add_demand(demand);
     }
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -26,6 +26,8 @@
     pub missed: u64,
     /// The number of requests for which all upstreams with it were full.
     pub crowded: u64,
+    /// The number of answers that began late because their upstream was busy.
+    pub late: u64,
 }
 
 impl ModelDemand {
@@ -35,6 +37,7 @@
         self.tokens += other.tokens;
         self.missed += other.missed;
         self.crowded += other.crowded;
+        self.late += other.late;
     }
 }
 
@@ -157,6 +160,25 @@
     pub evicted: Vec<(Name, Name)>,
 }
 
+/// A gateway's request for the load of a model or adapter that no upstream has.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct LoadRequest {
+    /// The demand for it.
+    pub demand: ModelDemand,
+    /// The maximum time to wait for the order, in milliseconds.
+    pub wait: u64,
+    /// Whether a hub that does not lead has passed it on.
+    pub is_forwarded: bool,
+}
+
+impl LoadRequest {
+    /// Returns the adapter, or else the model.
+    pub fn target(&self) -> &Name {
+        self.demand.adapter.as_ref().unwrap_or(&self.demand.model)
+    }
+}
+
 /// Information about a hub, by which gateways choose among hubs.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(default)]
@@ -254,6 +276,10 @@
     async fn facts() -> HubInfo;
     /// Returns the changes since another hub's last request.
     async fn mirror(request: MirrorRequest) -> MirrorReply;
+    /// Receives the demand of a request that no upstream can serve, and returns the
+    /// loads that will meet it as soon as they are ordered, or after `wait`
+    /// milliseconds. Returns `None` if the leader is unknown.
+    async fn request_load(request: LoadRequest) -> Option<OrderedLoads>;
     /// Receives demand that gateways reported to another hub.
     async fn demand(demand: Vec<ModelDemand>);
     /// Replaces the configuration, unless the current version is the same or
--- a/crates/sequoiawing_link/src/lib.rs
+++ b/crates/sequoiawing_link/src/lib.rs
@@ -29,8 +29,8 @@
 pub use explain::{ExplainRequest, Explanation, Step, Verdict};
 pub use handshake::Secret;
 pub use hub::{
-    DemandBatch, GatewayReport, GatewayUsage, Hub, HubClient, HubInfo, MirrorReply, MirrorRequest,
-    ModelDemand, NamedTunnelHost, OrderedLoads, PlannedLoad, SyncReply,
+    DemandBatch, GatewayReport, GatewayUsage, Hub, HubClient, HubInfo, LoadRequest, MirrorReply,
+    MirrorRequest, ModelDemand, NamedTunnelHost, OrderedLoads, PlannedLoad, SyncReply,
 };
 pub use peer::{ExchangeReply, Peer, PeerClient, RouterStatus, UpstreamBatch};
 pub use quarantine::{
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -193,6 +193,14 @@
         I: IntoIterator<Item = (Name, Name, Time)>,
     {
         self.expected.clear();
+        self.add_expected(loads);
+    }
+
+    /// Adds to the loads that upstreams are expected to finish.
+    pub fn add_expected<I>(&mut self, loads: I)
+    where
+        I: IntoIterator<Item = (Name, Name, Time)>,
+    {
         for (upstream, model, ready) in loads {
             let expected = self.expected.entry(upstream).or_default();
             expected.push((model, ready));
@@ -224,6 +232,18 @@
             && request.adapter.as_ref().is_none_or(has_adapter)
     }
 
+    /// Returns when the next load is expected to finish that a request waits for, or
+    /// `None` if no load of its model or adapter is in progress.
+    pub fn next_expected(&self, now: Time, request: &BalancerRequest) -> Option<Time> {
+        let needed = [request.model.as_ref(), request.adapter.as_ref()];
+        let pool = self.pools.get(&request.pool)?.iter();
+        let loads = pool.filter_map(|key| self.expected.get(&self.upstreams[*key].state.name));
+        let due = loads.flatten().filter(|(name, ready)| {
+            *ready > now && needed.iter().flatten().any(|needed| *needed == name)
+        });
+        due.map(|(_, ready)| *ready).min()
+    }
+
     /// Returns the upstreams that could not be reached lately.
     pub fn unreachable(&self, now: Time) -> Vec<Name> {
         let failed = self.upstreams.values().filter(|u| u.was_unreachable(now));
--- a/crates/sequoiawing_policy/src/serving/hub_selector.rs
+++ b/crates/sequoiawing_policy/src/serving/hub_selector.rs
@@ -170,6 +170,17 @@
         is_old
     }
 
+    /// Returns the hub beside the leader of the log, or the nearest one if none is known
+    /// to lead.
+    pub fn leader(&self, now: Time) -> Option<SocketAddr> {
+        let leads = |state: &HubState| state.status.as_ref().is_some_and(|s| s.leads);
+        let usable = self.hubs.iter().filter(|(_, state)| state.is_usable(now));
+        let leading = usable.filter(|(_, state)| leads(state));
+        let newest = leading.max_by_key(|(_, state)| state.answered);
+        let newest = newest.map(|(hub, _)| *hub);
+        newest.or_else(|| self.selected_hubs(now).first().copied())
+    }
+
     /// Returns the role of a hub.
     pub fn role(&self, now: Time, hub: SocketAddr) -> HubRole {
         let followed = self.selected_hubs(now);
--- a/crates/sequoiawing_policy/src/serving/loader/demand.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/demand.rs
@@ -1,3 +1,4 @@
+use super::{count, inventory::PoolInventory};
 use sequoiawing_types::{Name, Time};
 use std::{collections::HashMap, time::Duration};
 
@@ -17,6 +18,24 @@
 /// as about to be retried.
 const MISS_TTL: Duration = Duration::from_secs(2);
 
+/// The number of late answers, with exponential decay, from which a model counts as
+/// overloaded. Fewer may have other causes.
+const MIN_LATE: f64 = 2.0;
+
+/// The share of late answers from which a model counts as overloaded.
+const LATE_SHARE: f64 = 0.1;
+
+/// The part of the load under which replicas were overloaded that they are assumed to
+/// serve in time.
+const SUSTAINED_SHARE: f64 = 0.8;
+
+/// The time constant with which the assumed capacity of a replica recovers, in seconds.
+/// Prompts, adapters and the other models of its engine change.
+const RECOVERY_SECONDS: f64 = 120.0;
+
+/// How long after a load late answers are those of requests from before it.
+const SETTLING_TIME: Duration = Duration::from_millis(500);
+
 /// The approximate duration of a request.
 const REQUEST_DURATION: Duration = Duration::from_millis(800);
 
@@ -26,15 +45,25 @@
     long_term: f64,
     /// The short-term count of requests, which decays faster.
     short_term: f64,
+    /// The long-term count of late answers.
+    late: f64,
     updated: Time,
     missed: Option<Time>,
     saturated: Option<Time>,
+    /// When the last replica that was loaded has shown its effect. Overload before that
+    /// is that of the replicas before it.
+    settled: Time,
+    /// The requests per second that one replica serves in time, and when this was
+    /// learned, if it was ever overloaded.
+    capacity: Option<(f64, Time)>,
 }
 
 impl DemandRate {
     fn decay(&mut self, now: Time) {
         let age = now.since(self.updated).as_secs_f64();
-        self.long_term *= (-age / LONG_TERM_SECONDS).exp();
+        let long_term_decay = (-age / LONG_TERM_SECONDS).exp();
+        self.long_term *= long_term_decay;
+        self.late *= long_term_decay;
         self.short_term *= (-age / SHORT_TERM_SECONDS).exp();
         self.updated = now;
     }
@@ -49,20 +78,39 @@
     }
 }
 
+impl DemandRate {
+    /// Returns whether replicas were full or answered late recently.
+    fn is_overloaded(&self, now: Time) -> bool {
+        let is_saturated = self.saturated.is_some_and(|at| now < at + MISS_TTL);
+        let is_late = self.late >= MIN_LATE && self.late >= self.long_term * LATE_SHARE;
+        is_saturated || is_late
+    }
+
+    /// Returns the requests per second that one replica serves in time.
+    fn capacity(&self, now: Time, assumed: f64) -> f64 {
+        let Some((capacity, learned)) = self.capacity else {
+            return assumed;
+        };
+        let recovery = (now.since(learned).as_secs_f64() / RECOVERY_SECONDS).exp();
+        (capacity * recovery).min(assumed)
+    }
+}
+
 /// A number of requests and whether any of them was not served.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct DemandSample {
     pub(super) requests: u64,
     pub(super) is_missed: bool,
     pub(super) is_saturated: bool,
+    pub(super) late: u64,
 }
 
 /// Tracks the demand for models and adapters.
 #[derive(Clone, Debug, Default)]
 pub(super) struct DemandTracker {
     models: HashMap<(Name, Name), DemandRate>,
-    /// The last time that an adapter was missing, by pool, model and adapter.
-    adapters: HashMap<(Name, Name, Name), Time>,
+    /// When an adapter was first and last missing, by pool, model and adapter.
+    adapters: HashMap<(Name, Name, Name), (Time, Time)>,
 }
 
 impl DemandTracker {
@@ -75,17 +123,21 @@
         let (pool, model, adapter) = key;
         if let Some(adapter) = adapter.filter(|_| sample.is_missed) {
             let key = (pool.clone(), model.clone(), adapter);
-            self.adapters.insert(key, now);
+            let (_, last) = self.adapters.entry(key).or_insert((now, now));
+            *last = now;
         }
         let rate = self.models.entry((pool, model)).or_default();
         rate.decay(now);
-        let requests = f64::from(u32::try_from(sample.requests).unwrap_or(u32::MAX));
-        rate.long_term += requests;
-        rate.short_term += requests;
+        let count = |number| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
+        rate.long_term += count(sample.requests);
+        rate.short_term += count(sample.requests);
+        if now >= rate.settled {
+            rate.late += count(sample.late);
+        }
         if sample.is_missed {
             rate.missed = Some(now);
         }
-        if sample.is_saturated {
+        if sample.is_saturated && now >= rate.settled {
             rate.saturated = Some(now);
         }
     }
@@ -103,18 +155,50 @@
         missed.is_some_and(|at| now < at + MISS_TTL)
     }
 
-    /// Returns whether a recent request for a model found all replicas full.
-    pub(super) fn is_saturated(&self, now: Time, pool: &Name, model: &Name) -> bool {
+    /// Returns whether the replicas of a model were full or answered late recently.
+    pub(super) fn is_overloaded(&self, now: Time, pool: &Name, model: &Name) -> bool {
         let found = self.models.get(&(pool.clone(), model.clone()));
-        let saturated = found.and_then(|r| r.saturated);
-        saturated.is_some_and(|at| now < at + MISS_TTL)
+        found.is_some_and(|r| r.is_overloaded(now))
     }
 
-    /// Clears the record of full replicas, because one more replica was
-    /// ordered.
-    pub(super) fn clear_saturated(&mut self, pool: &Name, model: &Name) {
-        if let Some(rate) = self.models.get_mut(&(pool.clone(), model.clone())) {
-            rate.saturated = None;
+    /// Returns the requests per second that one replica of a model serves in time.
+    /// `assumed` is that of a model that was never overloaded.
+    pub(super) fn capacity(&self, now: Time, pool: &Name, model: &Name, assumed: f64) -> f64 {
+        let found = self.models.get(&(pool.clone(), model.clone()));
+        found.map_or(assumed, |r| r.capacity(now, assumed))
+    }
+
+    /// Learns from overloaded models of a pool what their replicas do not serve in time.
+    /// Those that get one more replica are judged again once it serves.
+    pub(super) fn learn_capacities(
+        &mut self,
+        now: Time,
+        pool: &Name,
+        assumed: f64,
+        inventory: &PoolInventory,
+    ) {
+        let models = self.models.iter_mut().filter(|((p, _), _)| p == pool);
+        for ((_, model), rate) in models {
+            if inventory.is_loading(model) {
+                rate.saturated = None;
+                rate.late = 0.0;
+                rate.settled = now + SETTLING_TIME;
+                continue;
+            }
+            let replicas = count(inventory.replicas(model));
+            if replicas > 0.0 && rate.is_overloaded(now) {
+                let sustained = rate.per_second(now) / replicas * SUSTAINED_SHARE;
+                rate.capacity = Some((sustained.min(assumed), now));
+            }
+        }
+    }
+
+    /// Records that replicas of a model lack room for adapters in use.
+    pub(super) fn mark_overloaded(&mut self, now: Time, pool: &Name, model: &Name) {
+        if let Some(rate) = self.models.get_mut(&(pool.clone(), model.clone()))
+            && now >= rate.settled
+        {
+            rate.saturated = Some(now);
         }
     }
 
@@ -125,12 +209,18 @@
         found.is_some_and(|r| now < r.updated + REQUEST_DURATION)
     }
 
-    /// Returns the adapters of a pool that recent requests found missing, with
-    /// their models.
-    pub(super) fn missed_adapters(&mut self, now: Time, pool: &Name) -> Vec<(Name, Name)> {
-        self.adapters.retain(|_, at| now < *at + MISS_TTL);
-        let missed = self.adapters.keys().filter(|(p, _, _)| p == pool);
-        let mut missed: Vec<_> = missed.map(|(_, m, a)| (m.clone(), a.clone())).collect();
+    /// Returns the adapters of a pool that recent requests found missing, with their
+    /// models and for how long they have been missing.
+    pub(super) fn missed_adapters(
+        &mut self,
+        now: Time,
+        pool: &Name,
+    ) -> Vec<(Name, Name, Duration)> {
+        self.adapters.retain(|_, (_, last)| now < *last + MISS_TTL);
+        let missed = self.adapters.iter().filter(|((p, _, _), _)| p == pool);
+        let missed =
+            missed.map(|((_, m, a), (first, _))| (m.clone(), a.clone(), now.since(*first)));
+        let mut missed: Vec<_> = missed.collect();
         missed.sort();
         missed
     }
--- a/crates/sequoiawing_policy/src/serving/loader/engine.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/engine.rs
@@ -37,6 +37,9 @@
 /// The approximate duration of an adapter load.
 const ADAPTER_LOAD_DURATION: Duration = Duration::from_millis(30);
 
+/// How long after its last request an adapter counts as in use.
+const ADAPTER_USE_TTL: Duration = Duration::from_secs(4);
+
 /// The phase of a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum JobPhase {
@@ -109,7 +112,7 @@
     pub(super) is_unreachable: bool,
     /// Models that the engine was ordered to evict but may still announce.
     pub(super) evicted: BTreeMap<Name, Time>,
-    /// The loaded adapters, with the time of their last order.
+    /// The loaded adapters, with the time of their last order or request.
     pub(super) adapters: BTreeMap<Name, Time>,
     /// The adapter ordered last and its estimated completion time.
     pub(super) last_adapter_load: Option<(Name, Time)>,
@@ -276,6 +279,32 @@
         });
     }
 
+    /// Records that an adapter was requested.
+    pub(super) fn use_adapter(&mut self, now: Time, adapter: &Name) {
+        if let Some(used) = self.adapters.get_mut(adapter) {
+            *used = now;
+        }
+    }
+
+    /// Returns whether an adapter can be loaded without giving up one that is in use.
+    /// `slots` is the number of adapters that the engine can hold.
+    pub(super) fn has_adapter_slot(&self, now: Time, slots: u32) -> bool {
+        let in_use = self.adapters.values();
+        let in_use = in_use.filter(|used| now < **used + ADAPTER_USE_TTL);
+        in_use.count() + self.queued_adapters.len() < slots as usize
+    }
+
+    /// Returns the time until the engine accepts other orders after its load.
+    pub(super) fn load_delay(&self, now: Time) -> Duration {
+        match &self.job {
+            Some(Job {
+                phase: JobPhase::Loading { ready },
+                ..
+            }) => ready.since(now),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Queues an adapter to be loaded. `slots` is the number of adapters that
     /// the engine can hold.
     pub(super) fn queue_adapter(&mut self, adapter: Name, slots: u32) {
--- a/crates/sequoiawing_policy/src/serving/loader/inventory.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/inventory.rs
@@ -15,12 +15,15 @@
     /// The models whose weights are, or will be, in the host memory or on the
     /// disk of an engine that does not hold them.
     checkpoints: HashSet<Name>,
+    /// The models that an engine loads or is about to load.
+    loading: HashSet<Name>,
 }
 
 impl PoolInventory {
     /// Adds the models of a serving engine.
     pub(super) fn add(&mut self, engine: &Engine) {
         let loading = engine.job.as_ref().map(|job| &job.model);
+        self.loading.extend(loading.cloned());
         let held = engine.held().filter(|m| Some(*m) != loading);
         let remaining = held.filter(|m| engine.will_hold(m));
         for model in remaining.chain(loading) {
@@ -41,6 +44,11 @@
         self.replicas.get(model).copied().unwrap_or_default()
     }
 
+    /// Returns whether an engine loads a model or is about to.
+    pub(super) fn is_loading(&self, model: &Name) -> bool {
+        self.loading.contains(model)
+    }
+
     /// Returns whether the weights of a model are, or will be, in the host
     /// memory or on the disk of an engine that does not hold it.
     pub(super) fn has_checkpoint(&self, model: &Name) -> bool {
@@ -52,6 +60,7 @@
         self.free.remove(engine);
         *self.replicas.entry(model.clone()).or_default() += 1;
         self.checkpoints.insert(model.clone());
+        self.loading.insert(model.clone());
         for name in evict {
             if let Some(replicas) = self.replicas.get_mut(name) {
                 *replicas = replicas.saturating_sub(1);
--- a/crates/sequoiawing_policy/src/serving/loader/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/mod.rs
@@ -26,6 +26,10 @@
 /// By then the engine has announced the adapter.
 const ADAPTER_PLAN_TTL: Duration = Duration::from_millis(2_500);
 
+/// How long an adapter waits for one that is not in use to give way. An engine that gives
+/// up one in use accepts no other order until its requests have ended.
+const ADAPTER_PATIENCE: Duration = Duration::from_secs(3);
+
 /// The limits of a [`ModelLoader`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoaderSettings {
@@ -188,13 +192,19 @@
                 requests,
                 missed,
                 saturated,
-                late: _,
+                late,
             } => {
                 let sample = DemandSample {
                     requests,
                     is_missed: missed > 0,
                     is_saturated: saturated > 0,
+                    late,
                 };
+                if let Some(adapter) = &adapter {
+                    for engine in self.engines.values_mut() {
+                        engine.use_adapter(now, adapter);
+                    }
+                }
                 self.demands.record(now, (pool, model, adapter), sample);
             }
             LoaderEvent::OrderAnswered { engine, reply } => self.on_reply(now, &engine, reply),
@@ -288,6 +298,9 @@
         for pool in catalog.pools.iter().filter(|p| p.engine.is_some()) {
             self.queue_adapters(now, pool);
             let mut inventory = self.inventory(now, pool);
+            let assumed = self.settings.replica_rate;
+            self.demands
+                .learn_capacities(now, &pool.name, assumed, &inventory);
             for (model, value) in self.wanted(now, pool, &inventory) {
                 if !self.assign_load(now, pool, &mut inventory, &model, value) {
                     self.plan_queued(now, pool, &inventory, &model);
@@ -359,13 +372,15 @@
                 let replicas = inventory.replicas(&model.name);
                 let rate = self.demands.rate(now, &pool.name, &model.name);
                 let is_missed = self.demands.is_missed(now, &pool.name, &model.name);
-                let served = count(replicas) * self.settings.replica_rate;
+                let assumed = self.settings.replica_rate;
+                let capacity = self.demands.capacity(now, &pool.name, &model.name, assumed);
+                let served = count(replicas) * capacity;
                 let value = if replicas == 0 && is_missed {
                     rate + 1.0
+                } else if replicas > 0 && self.demands.is_overloaded(now, &pool.name, &model.name) {
+                    (rate - served).max(rate / (count(replicas) + 1.0))
                 } else if replicas > 0 && rate > served {
                     rate - served
-                } else if replicas > 0 && self.demands.is_saturated(now, &pool.name, &model.name) {
-                    rate / (count(replicas) + 1.0)
                 } else {
                     return None;
                 };
@@ -465,8 +480,6 @@
         if let Some(engine) = self.engines.get_mut(&name) {
             engine.job = Some(Job::new(model, source, evict));
         }
-        // Wait for the effect of this replica before loading another.
-        self.demands.clear_saturated(&pool.name, &model.name);
         true
     }
 
@@ -492,14 +505,24 @@
     /// Queues the adapters that requests found missing.
     fn queue_adapters(&mut self, now: Time, pool: &CatalogPool) {
         let slots = pool.engine.as_ref().map_or(0, |e| e.adapter_slots);
-        for (model, adapter) in self.demands.missed_adapters(now, &pool.name) {
+        for (model, adapter, missing) in self.demands.missed_adapters(now, &pool.name) {
             let engines = self.engines.values_mut();
             let holders = engines.filter(|e| e.state.pool == pool.name && e.holds(&model));
             let mut holders: Vec<&mut Engine> = holders.filter(|e| e.is_serving()).collect();
-            if holders.iter().any(|e| e.will_have_adapter(&adapter)) {
+            if holders.is_empty() || holders.iter().any(|e| e.will_have_adapter(&adapter)) {
                 continue;
             }
-            holders.sort_by_key(|e| e.adapters.len());
+            if !holders.iter().any(|e| e.has_adapter_slot(now, slots)) {
+                // Another replica has slots too.
+                self.demands.mark_overloaded(now, &pool.name, &model);
+                if missing < ADAPTER_PATIENCE {
+                    continue;
+                }
+            }
+            holders.sort_by_key(|e| {
+                let is_crowded = !e.has_adapter_slot(now, slots);
+                (is_crowded, e.load_delay(now), e.adapters.len())
+            });
             if let Some(engine) = holders.into_iter().next() {
                 engine.queue_adapter(adapter, slots);
             }
@@ -565,7 +588,9 @@
         let value = |name: &Name| {
             let replicas = inventory.replicas(name).saturating_sub(1);
             let rate = self.demands.rate(now, &pool.name, name);
-            let lost = (rate - count(replicas) * self.settings.replica_rate).max(0.0);
+            let assumed = self.settings.replica_rate;
+            let capacity = self.demands.capacity(now, &pool.name, name, assumed);
+            let lost = (rate - count(replicas) * capacity).max(0.0);
             let is_cheap = engine.load_source(name) != LoadSource::Store || replicas > 0;
             let is_used = self.demands.is_recent(now, &pool.name, name);
             lost + if is_cheap { 0.0 } else { RELOAD_VALUE }
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -8,6 +8,7 @@
 mod handover;
 mod hedge;
 mod hub_selector;
+mod lateness;
 mod loader;
 mod prefix_cache;
 mod quarantine;
@@ -24,6 +25,7 @@
 pub use handover::handover_wait;
 pub use hedge::{Hedge, HedgeAction, HedgeAttempt, HedgeEvent, HedgeSettings};
 pub use hub_selector::{HubRole, HubSelector, HubStatus};
+pub use lateness::LatenessMeter;
 pub use loader::{LoadPlan, LoaderAction, LoaderEvent, LoaderSettings, ModelLoader};
 pub use prefix_cache::{PrefixCache, PromptPart};
 pub use quarantine::{
--- a/crates/sequoiawing_policy/tests/balancer.rs
+++ b/crates/sequoiawing_policy/tests/balancer.rs
@@ -337,3 +337,32 @@
     let reports = balancer.report_limits(now);
     assert_eq!(reports[0].2.tokens.wanted, 3);
 }
+
+/// Guards against requests that wait for an adapter long after its load has ended: no
+/// event says that it has.
+#[test]
+fn a_request_is_told_when_the_load_that_it_waits_for_ends() {
+    let mut balancer = balancer(vec![upstream("a", &["m"]), upstream("b", &["m"])]);
+    let (now, ready) = (Time::from_millis(100), Time::from_millis(140));
+    let request = BalancerRequest {
+        adapter: Some(Name::from("m:a1")),
+        ..request("m")
+    };
+    assert_eq!(balancer.next_expected(now, &request), None);
+    let later = ready + Duration::from_millis(60);
+    let loads = [
+        ("a", "m:a1", later),
+        ("b", "m:a1", ready),
+        ("a", "m:a2", now),
+    ];
+    let loads = loads.map(|(upstream, model, at)| (Name::from(upstream), Name::from(model), at));
+    balancer.set_expected(loads);
+    assert!(matches!(
+        balancer.pick(now, &request),
+        PickResult::NotLoaded
+    ));
+    assert_eq!(balancer.next_expected(now, &request), Some(ready));
+    let assigned = send(&mut balancer, ready, &request);
+    assert_eq!(assigned.name, Name::from("b"));
+    assert_eq!(balancer.next_expected(ready, &request), Some(later));
+}
