--- a/crates/sequoiawing_gateway/src/cluster_view.rs
+++ b/crates/sequoiawing_gateway/src/cluster_view.rs
@@ -28,20 +28,13 @@
     pub(crate) usage_source: Option<(SocketAddr, u64)>,
     pub(crate) gateways: u32,
     pub(crate) missing: u32,
-    /// The term of the leader that ordered the loads.
+    /// The term of the leader that ordered the loads and evictions.
     pub(crate) term: u64,
-    /// The loads of the last report's reply, with the times at which they are due.
+    /// The loads that were requested, with the times at which they are due.
     pub(crate) loads: Vec<(Time, PlannedLoad)>,
-    /// The loads that were requested.
-    pub(crate) requested: Vec<(Time, PlannedLoad)>,
 }
 
 impl ClusterView {
-    /// Returns the known loads with the times at which they are due.
-    pub(crate) fn loads(&self) -> impl Iterator<Item = &(Time, PlannedLoad)> {
-        self.loads.iter().chain(&self.requested)
-    }
-
     /// Returns the upstreams that all connected hubs report as silent.
     pub(crate) fn silent_upstreams(&self, now: Time) -> HashSet<Name> {
         let is_fresh = |h: &&HubView| now.since(h.last_response) <= DISCONNECTED_AFTER;
--- a/crates/sequoiawing_gateway/src/hub_sync.rs
+++ b/crates/sequoiawing_gateway/src/hub_sync.rs
@@ -163,6 +163,7 @@
         let usage = state.usage();
         let lost = state.connector.lost();
         let sync_position = *self.sync_position.lock();
+        let skips_roster = !is_primary && state.hubs.lock().has_fresh_primary(state.now());
         let report = GatewayReport {
             host: state.settings.host.clone(),
             incarnation: state.incarnation,
@@ -175,6 +176,7 @@
             reached: state.reached(),
             lost: lost.clone(),
             tunnels: state.settings.tunnels,
+            skips_roster,
             quarantine: state.quarantine.report(state.now()),
             tokens: state.report_limits(),
             seen: sync_position.seen,
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -13,8 +13,8 @@
 use sequoiawing_fleet::{Cursor, Interest, Roster, RosterEntry};
 use sequoiawing_http::Client as HttpClient;
 use sequoiawing_link::{
-    DemandBatch, HubClient, ModelDemand, OrderedLoads, PlannedLoad, Secret, Stub, SyncReply,
-    Translations,
+    DemandBatch, HubClient, ModelDemand, OrderedEvictions, OrderedLoads, PlannedLoad, Secret, Stub,
+    SyncReply, Translations,
 };
 use sequoiawing_policy::serving::{
     Assignment, AttemptOutcome, Balancer, BalancerRequest, HubRole, HubSelector, HubStatus,
@@ -472,7 +472,7 @@
     pub(crate) fn time_until_loaded(&self, pool: &Name, model: &Name) -> Option<Duration> {
         let now = self.now();
         let cluster = self.cluster.lock();
-        let loads = cluster.loads();
+        let loads = cluster.loads.iter();
         let matching = loads.filter(|(_, l)| l.pool == *pool && l.model == *model);
         matching.map(|(at, _)| at.since(now)).min()
     }
@@ -504,8 +504,8 @@
         let mut cluster = self.cluster.lock();
         cluster.gateways = update.gateways;
         cluster.missing = update.missing;
-        if let Some(ordered) = update.ordered {
-            self.apply_ordered(now, &mut cluster, ordered);
+        if let Some(evictions) = update.evictions {
+            self.apply_evictions(now, &mut cluster, evictions);
         }
         if let Some(meters) = &self.meters {
             meters.set_state(self.index.load().version(), false);
@@ -531,23 +531,19 @@
         self.upstreams_changed.notify(usize::MAX);
     }
 
-    /// Applies the model loads and evictions that the leader ordered.
-    fn apply_ordered(&self, now: Time, cluster: &mut ClusterView, ordered: OrderedLoads) {
-        if ordered.term < cluster.term {
+    /// Applies the evictions that the leader ordered.
+    fn apply_evictions(&self, now: Time, cluster: &mut ClusterView, evictions: OrderedEvictions) {
+        if evictions.term < cluster.term {
             return;
         }
-        cluster.term = ordered.term;
-        cluster.loads = due_loads(now, ordered.loads);
-        cluster
-            .requested
-            .retain(|(due, _)| now < *due + REQUESTED_TTL);
+        cluster.term = evictions.term;
+        cluster.loads.retain(|(due, _)| now < *due + REQUESTED_TTL);
         let mut balancer = self.balancer.lock();
-        balancer.set_expected(cluster.loads().map(expected_load));
-        balancer.set_evicted(ordered.evicted);
+        balancer.set_expected(cluster.loads.iter().map(expected_load));
+        balancer.set_evicted(evictions.evicted);
     }
 
     /// Applies the loads that the leader's hub named in reply to a request for them.
-    /// Reports and their replies are slower in large deployments, and may be older.
     pub(crate) fn apply_requested(&self, ordered: OrderedLoads) {
         let now = self.now();
         let mut cluster = self.cluster.lock();
@@ -557,7 +553,7 @@
         let requested = due_loads(now, ordered.loads);
         let expected = requested.iter().map(expected_load);
         self.balancer.lock().add_expected(expected);
-        cluster.requested.extend(requested);
+        cluster.loads.extend(requested);
         drop(cluster);
         self.upstreams_changed.notify(usize::MAX);
     }
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -10,11 +10,11 @@
 use parking_lot::Mutex;
 use sequoiawing_catalog::Document;
 use sequoiawing_controller::ControllerHandle;
-use sequoiawing_fleet::{Interest, Roster, UpstreamState};
+use sequoiawing_fleet::{Interest, Roster, RosterUpdate, UpstreamState};
 use sequoiawing_link::{
     ControlError, GatewayReport, Hub as _, HubClient, HubInfo, LinkListener, LoadRequest,
-    MirrorReply, MirrorRequest, ModelDemand, OrderedLoads, PlannedLoad, QuarantineReport, Secret,
-    Stub, SyncReply, connection_handler,
+    MirrorReply, MirrorRequest, ModelDemand, OrderedEvictions, OrderedLoads, PlannedLoad,
+    QuarantineReport, Secret, Stub, SyncReply, connection_handler,
 };
 use sequoiawing_runtime::{Clock, Shutdown, Watch, sleep, spawn, timeout};
 use sequoiawing_tables::{Command, Outcome};
@@ -44,8 +44,8 @@
 /// report to this or another hub within a few reporting intervals.
 const USAGE_SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// How long a leader's ordered loads are passed on without an update of them.
-const ORDERED_LOADS_TTL: Duration = Duration::from_secs(2);
+/// How long a leader's orders are passed on without an update of them.
+const ORDERS_TTL: Duration = Duration::from_secs(2);
 
 /// How long a hub may lack contact with the log's majority and still receive the
 /// announcements of upstreams. An election takes less time.
@@ -86,8 +86,12 @@
     pub(crate) changes: Watch<u64>,
     /// Counts wake-ups of the loader.
     pub(crate) loader_wakeups: Watch<u64>,
-    /// The loads that the leader ordered, and when they were received.
+    /// The loads that this host ordered as the leader, and when it did.
     pub(crate) ordered_loads: Mutex<Option<(Time, OrderedLoads)>>,
+    /// The evictions that the leader ordered, and when they were received.
+    evictions: Mutex<Option<(Time, OrderedEvictions)>>,
+    /// Counts changes of the loads that this host ordered.
+    pub(crate) orders: Watch<u64>,
     /// When this host last gave an order to an engine.
     pub(crate) last_order: Mutex<Option<Time>>,
     /// The upstreams that gateways cannot reach.
@@ -136,7 +140,7 @@
     pub(crate) async fn sync(&self, report: &GatewayReport) -> SyncReply {
         self.record_report(report);
         let wait = Duration::from_millis(report.wait);
-        let is_new = |seen: &u64| *seen != report.seen;
+        let is_new = |seen: &u64| *seen != report.seen && !report.skips_roster;
         let gateway = (&report.host, report.incarnation);
         let has_grants = |_: &u64| {
             let limits = self.limits.lock();
@@ -231,7 +235,14 @@
         let settled = !usage.is_rebuilt() || now >= Time::ZERO + USAGE_SETTLE_TIME;
         drop(usage);
         let roster = self.roster.lock();
-        let roster_update = roster.updates_since(report.cursor, Interest::Changes);
+        let roster_update = if report.skips_roster {
+            RosterUpdate {
+                cursor: report.cursor,
+                ..RosterUpdate::default()
+            }
+        } else {
+            roster.updates_since(report.cursor, Interest::Changes)
+        };
         let silent = roster.silent(now, self.settings.silence_timeout);
         drop(roster);
         let catalog = self.handle.tables().catalog.clone();
@@ -245,7 +256,7 @@
             settled,
             gateways,
             missing,
-            ordered: self.ordered_loads(now),
+            evictions: self.evictions(now).filter(|_| !report.skips_roster),
             quarantine: self.poison.lock().update(now),
             tunnel_hosts,
             limits: {
@@ -274,40 +285,58 @@
             roster,
             uses,
             stamp,
-            ordered: self.ordered_loads(now).filter(|_| leads),
+            evictions: self.evictions(now).filter(|_| leads),
             limits: self.limits.lock().update(now).filter(|_| leads),
             seen,
         }
     }
 
-    /// Sets the loads that the leader's hub ordered, unless they are of an older
-    /// term.
+    /// Sets the loads that this host ordered as the leader.
     pub(crate) fn set_ordered_loads(&self, ordered: OrderedLoads) {
-        let now = self.now();
-        let mut current = self.ordered_loads.lock();
-        if current.as_ref().is_some_and(|(_, o)| o.term > ordered.term) {
-            return;
-        }
         let targets = |ordered: &OrderedLoads| -> Vec<(Name, Name)> {
             let loads = ordered.loads.iter();
             loads
                 .map(|l| (l.model.clone(), l.upstream.clone()))
                 .collect()
         };
-        let is_same = current.as_ref().is_some_and(|(_, previous)| {
-            previous.evicted == ordered.evicted && targets(previous) == targets(&ordered)
-        });
-        *current = Some((now, ordered));
-        drop(current);
+        let now = self.now();
+        let previous = self.ordered_loads.lock().replace((now, ordered.clone()));
+        let is_same = previous.is_some_and(|(_, o)| targets(&o) == targets(&ordered));
         if !is_same {
+            self.orders.set(self.orders.get() + 1);
+        }
+    }
+
+    /// Sets the evictions that the leader's hub ordered, unless they are of an older
+    /// term.
+    pub(crate) fn set_evictions(&self, evictions: OrderedEvictions) {
+        let mut current = self.evictions.lock();
+        if current
+            .as_ref()
+            .is_some_and(|(_, e)| e.term > evictions.term)
+        {
+            return;
+        }
+        let previous = current.replace((self.now(), evictions.clone()));
+        drop(current);
+        if previous.is_none_or(|(_, e)| e.evicted != evictions.evicted) {
             self.notify_changed();
         }
     }
 
+    /// Returns the evictions that the leader ordered lately.
+    fn evictions(&self, now: Time) -> Option<OrderedEvictions> {
+        let evictions = self.evictions.lock();
+        let (_, evictions) = evictions
+            .as_ref()
+            .filter(|(at, _)| now.since(*at) <= ORDERS_TTL)?;
+        Some(evictions.clone())
+    }
+
     /// Returns the loads that the leader ordered, with times relative to `now`.
     pub(crate) fn ordered_loads(&self, now: Time) -> Option<OrderedLoads> {
         let ordered = self.ordered_loads.lock().clone();
-        let (at, ordered) = ordered.filter(|(at, _)| now.since(*at) <= ORDERED_LOADS_TTL)?;
+        let (at, ordered) = ordered.filter(|(at, _)| now.since(*at) <= ORDERS_TTL)?;
         let age = millis(now.since(at));
         let aged = ordered.loads.into_iter().map(|load| PlannedLoad {
             ready: load.ready.saturating_sub(age),
@@ -334,9 +363,9 @@
         });
         let mut holders: Vec<Name> = holders.map(|state| state.name.clone()).collect();
         drop(roster);
-        if let Some((_, ordered)) = &*self.ordered_loads.lock() {
+        if let Some((_, evictions)) = &*self.evictions.lock() {
             let is_evicted = |name: &Name| {
-                let mut evicted = ordered.evicted.iter();
+                let mut evicted = evictions.evicted.iter();
                 evicted.any(|(n, m)| n == name && *m == demand.model)
             };
             holders.retain(|name| !is_evicted(name));
@@ -370,6 +399,7 @@
             "upstreams": upstreams,
             "usage": *self.usage.lock(),
             "ordered": self.ordered_loads(self.now()),
+            "evictions": self.evictions(self.now()),
             "quarantine": self.poison.lock().dump(self.now()),
             "version": self.handle.tables().catalog.version,
         })
@@ -424,6 +454,8 @@
             changes: Watch::default(),
             loader_wakeups: Watch::default(),
             ordered_loads: Mutex::default(),
+            evictions: Mutex::default(),
+            orders: Watch::default(),
             last_order: Mutex::default(),
             unreachable: Mutex::default(),
             poison: Mutex::default(),
--- a/crates/sequoiawing_hub/src/load_request.rs
+++ b/crates/sequoiawing_hub/src/load_request.rs
@@ -21,7 +21,7 @@
         self.add_demand(vec![request.demand.clone()]);
         let wait = Duration::from_millis(request.wait);
         let is_known = |_: &u64| self.knows_load(&request);
-        timeout(wait, self.changes.wait_until(is_known)).await;
+        timeout(wait, self.orders.wait_until(is_known)).await;
         Some(self.loads_for(&request))
     }
 
@@ -50,16 +50,20 @@
     fn knows_load(&self, request: &LoadRequest) -> bool {
         let ordered = self.ordered_loads.lock();
         let mut loads = ordered.iter().flat_map(|(_, ordered)| &ordered.loads);
-        let is_underway = loads.any(|load| is_met(request, load));
+        let is_underway = loads.any(|load| {
+            let is_queued = load.upstream.as_str().is_empty();
+            is_asked_for(request, load) && !is_queued
+        });
         drop(ordered);
         is_underway || !self.holders(request).is_empty()
     }
 
-    /// Returns the ordered loads that meet a request, with those that are done.
+    /// Returns the loads that meet a request: those that wait for an engine, are being
+    /// carried out or are done.
     fn loads_for(&self, request: &LoadRequest) -> OrderedLoads {
         let ordered = self.ordered_loads(self.now()).unwrap_or_default();
         let underway = ordered.loads.into_iter();
-        let underway = underway.filter(|load| is_met(request, load));
+        let underway = underway.filter(|load| is_asked_for(request, load));
         let done = self
             .holders(request)
             .into_iter()
@@ -72,14 +76,11 @@
         OrderedLoads {
             term: ordered.term,
             loads: underway.chain(done).collect(),
-            evicted: Vec::new(),
         }
     }
 }
 
-/// Returns whether a load is one that a request asks for, and that an engine carries out.
-fn is_met(request: &LoadRequest, load: &PlannedLoad) -> bool {
-    load.model == *request.target()
-        && load.pool == request.demand.pool
-        && !load.upstream.as_str().is_empty()
+/// Returns whether a load is one that a request asks for.
+fn is_asked_for(request: &LoadRequest, load: &PlannedLoad) -> bool {
+    load.model == *request.target() && load.pool == request.demand.pool
 }
--- a/crates/sequoiawing_hub/src/loader.rs
+++ b/crates/sequoiawing_hub/src/loader.rs
@@ -8,7 +8,7 @@
 use futures_lite::FutureExt;
 use sequoiawing_controller::Leadership;
 use sequoiawing_fleet::{Cursor, Interest, UpstreamState};
-use sequoiawing_link::{OrderedLoads, PlannedLoad};
+use sequoiawing_link::{OrderedEvictions, OrderedLoads, PlannedLoad};
 use sequoiawing_policy::serving::{EngineReply, LoaderAction, LoaderEvent, ModelLoader};
 use sequoiawing_runtime::{Shutdown, sleep, spawn};
 use sequoiawing_types::{Name, Time};
@@ -178,7 +178,8 @@
         }
     }
 
-    /// Publishes the current loads and evictions to gateways and other hubs.
+    /// Publishes the current loads, to gateways that ask for them, and the evictions, to
+    /// all gateways and other hubs.
     fn publish(&self, now: Time) {
         let plans = self.loader.plans().into_iter();
         let loads = plans.map(|plan| {
@@ -195,6 +196,9 @@
         self.state.set_ordered_loads(OrderedLoads {
             term: self.term,
             loads: loads.collect(),
+        });
+        self.state.set_evictions(OrderedEvictions {
+            term: self.term,
             evicted: self.loader.evicted(),
         });
     }
--- a/crates/sequoiawing_hub/src/mirror.rs
+++ b/crates/sequoiawing_hub/src/mirror.rs
@@ -110,8 +110,8 @@
     {
         state.notify_granted();
     }
-    if let Some(ordered) = update.ordered {
-        state.set_ordered_loads(ordered);
+    if let Some(evictions) = update.evictions {
+        state.set_evictions(evictions);
     }
     state.update_unreachable();
     if changed {
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -81,6 +81,8 @@
     pub lost: Vec<Name>,
     /// The address at which the gateway opens tunnels to upstreams for others.
     pub tunnels: Option<SocketAddr>,
+    /// Whether another hub in touch with the log tells the gateway of the upstreams.
+    pub skips_roster: bool,
     /// What the gateway knows of crashed upstreams.
     pub quarantine: QuarantineReport,
     /// The limited upstreams, with the gateway's tokens.
@@ -148,7 +150,7 @@
     pub age: u64,
 }
 
-/// The loads and evictions ordered by a leader.
+/// Loads that a leader ordered.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(default)]
 pub struct OrderedLoads {
@@ -156,6 +158,14 @@
     pub term: u64,
     /// The loads in progress.
     pub loads: Vec<PlannedLoad>,
+}
+
+/// The evictions that a leader ordered and that upstreams have not announced.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct OrderedEvictions {
+    /// The leader's term. Orders of a lower term are outdated.
+    pub term: u64,
     /// The evicted models, each with the upstream that was ordered to unload it.
     pub evicted: Vec<(Name, Name)>,
 }
@@ -221,8 +231,9 @@
     /// The number of these gateways that stopped reporting without announcing
     /// their shutdown.
     pub missing: u32,
-    /// The leader's orders, as far as the hub knows them.
-    pub ordered: Option<OrderedLoads>,
+    /// The leader's evictions, as far as the hub knows them, unless another hub tells
+    /// of the upstreams.
+    pub evictions: Option<OrderedEvictions>,
     /// The prompt parts that are suspected or quarantined.
     pub quarantine: QuarantineUpdate,
     /// The limited upstreams with the gateway's tokens, if the issuer of tokens is
@@ -258,8 +269,8 @@
     pub uses: Vec<GatewayUsage>,
     /// The stamp of the last usage in `uses`, for the next request.
     pub stamp: u64,
-    /// The hub's orders, if its controller is the leader of the log.
-    pub ordered: Option<OrderedLoads>,
+    /// The hub's evictions, if its controller is the leader of the log.
+    pub evictions: Option<OrderedEvictions>,
     /// The limited upstreams with the tokens of all gateways, if the hub's controller
     /// is the leader of the log.
     pub limits: Option<LimitUpdate>,
--- a/crates/sequoiawing_link/src/lib.rs
+++ b/crates/sequoiawing_link/src/lib.rs
@@ -30,7 +30,8 @@
 pub use handshake::Secret;
 pub use hub::{
     DemandBatch, GatewayReport, GatewayUsage, Hub, HubClient, HubInfo, LoadRequest, MirrorReply,
-    MirrorRequest, ModelDemand, NamedTunnelHost, OrderedLoads, PlannedLoad, SyncReply,
+    MirrorRequest, ModelDemand, NamedTunnelHost, OrderedEvictions, OrderedLoads, PlannedLoad,
+    SyncReply,
 };
 pub use peer::{ExchangeReply, Peer, PeerClient, RouterStatus, UpstreamBatch};
 pub use quarantine::{
--- a/crates/sequoiawing_policy/src/serving/hub_selector.rs
+++ b/crates/sequoiawing_policy/src/serving/hub_selector.rs
@@ -29,6 +29,14 @@
 /// behind the others.
 const MAX_QUORUM_AGE: Duration = Duration::from_millis(1_500);
 
+/// How long after its last answer the primary hub is relied on for news of upstreams; a
+/// longest report interval and a held report.
+const MAX_PRIMARY_SILENCE: Duration = Duration::from_millis(700);
+
+/// The time without contact to a quorum of the log after which the primary hub is not
+/// relied on for news of upstreams.
+const MAX_PRIMARY_AGE: Duration = Duration::from_millis(500);
+
 /// How long the last answer of a hub stays valid. Spans several probes.
 const ANSWER_TTL: Duration = Duration::from_secs(8);
 
@@ -170,6 +178,19 @@
         is_old
     }
 
+    /// Returns whether the primary hub answered just now and is in touch with the log.
+    /// It then tells of the upstreams, and no other hub needs to.
+    pub fn has_fresh_primary(&self, now: Time) -> bool {
+        let primary = self.selected_hubs(now).first().copied();
+        let state = primary.and_then(|hub| self.hubs.get(&hub));
+        state.is_some_and(|state| {
+            let answered = state.answered.unwrap_or(Time::ZERO);
+            let status = state.status.as_ref();
+            now.since(answered) <= MAX_PRIMARY_SILENCE
+                && status.is_some_and(|s| s.age <= MAX_PRIMARY_AGE)
+        })
+    }
+
     /// Returns the hub beside the leader of the log, or the nearest one if none is known
     /// to lead.
     pub fn leader(&self, now: Time) -> Option<SocketAddr> {
--- a/crates/sequoiawing_policy/tests/hub_selector.rs
+++ b/crates/sequoiawing_policy/tests/hub_selector.rs
@@ -176,3 +176,47 @@
     assert_eq!(selector.role(Time::ZERO, hub(1)), HubRole::Probed);
     assert!(selector.probe_interval(Time::ZERO, hub(1)) <= Duration::from_millis(500));
 }
+
+/// Guards against gateways that read the changes of all upstreams from two hubs.
+#[test]
+fn one_hub_tells_of_upstreams_while_it_is_in_touch_with_the_log() {
+    let status = |age| HubStatus {
+        centre: Name::from("a"),
+        leads: false,
+        age: Duration::from_millis(age),
+    };
+    let hub = SocketAddr::from(([10, 1, 0, 1], 1));
+    let mut hubs = HubSelector::new(Name::from("a"), 1);
+    hubs.add(Time::ZERO, hub, true);
+    assert!(!hubs.has_fresh_primary(Time::ZERO), "no hub has answered");
+    let now = Time::from_millis(10_000);
+    hubs.record_answer(now, hub, status(100));
+    assert!(hubs.has_fresh_primary(now + Duration::from_millis(600)));
+    assert!(
+        !hubs.has_fresh_primary(now + Duration::from_millis(800)),
+        "silent"
+    );
+    hubs.record_answer(now, hub, status(900));
+    assert!(!hubs.has_fresh_primary(now), "out of touch with the log");
+}
+
+#[test]
+fn loads_are_requested_from_the_leaders_hub() {
+    let mut hubs = HubSelector::new(Name::from("a"), 1);
+    let at = |host| SocketAddr::from(([10, 1, 0, host], 1));
+    let now = Time::from_millis(10_000);
+    assert_eq!(hubs.leader(now), None);
+    for (host, centre, leads) in [(1, "a", false), (2, "b", true)] {
+        hubs.add(Time::ZERO, at(host), true);
+        let status = HubStatus {
+            centre: Name::from(centre),
+            leads,
+            age: Duration::ZERO,
+        };
+        hubs.set_gateways(300);
+        hubs.record_answer(now, at(host), status);
+    }
+    assert_eq!(hubs.leader(now), Some(at(2)));
+    hubs.record_failure(now + Duration::from_millis(1), at(2));
+    assert_eq!(hubs.leader(now), Some(at(1)), "any hub passes a request on");
+}
