--- a/crates/sequoiawing_gateway/src/daemon.rs
+++ b/crates/sequoiawing_gateway/src/daemon.rs
@@ -1,9 +1,14 @@
 use crate::{
     Dialect, GatewayExchange, GatewaySettings, GatewayState, filters, hub_sync,
+    isolation::watch_isolation,
     tunnels::{drain_tunnels, probe_paths, tunnel_handler},
 };
 use futures_lite::future::zip;
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+};
 use sequoiawing_http::{Body, Handler, HttpListener, HttpSettings, from_bytes};
 use sequoiawing_link::{LinkListener, Secret};
 use sequoiawing_router::{Chain, Code, Refused};
@@ -75,6 +80,7 @@
             spawn(listener.serve(tunnel_handler(&state), shutdown.clone())).detach();
         }
         spawn(probe_paths(state.clone(), shutdown.clone())).detach();
+        spawn(watch_isolation(state.clone(), shutdown.clone())).detach();
         let hub_task = spawn(hub_sync::sync_with_hubs(state.clone(), shutdown.clone()));
         log::info!(
             target: "gateway", callers = callers_address.to_string(),
@@ -187,9 +193,14 @@
             Ok(response) => response,
             Err(refused) => {
                 log_refusal(&exchange, &refused, latency);
-                state
-                    .dialect
-                    .refusal_response(&refused, Some(&exchange.meta.id))
+                let id = Some(&exchange.meta.id);
+                let mut response = state.dialect.refusal_response(&refused, id);
+                if state.is_isolated() {
+                    // The caller's next connection leads to another data centre.
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                response
             }
         };
         if let Some(meters) = &state.meters {
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod filters;
 mod hedge;
 mod hub_sync;
+mod isolation;
 mod load_requests;
 mod quarantine;
 mod relay;
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -227,12 +227,14 @@
     fn wait_for_model(&mut self, request: &BalancerRequest) -> (Time, Refused) {
         let now = self.state.now();
         let remaining = self.exchange.remaining(self.started);
-        // Whether the model will be loaded is known once the leader has ordered it, or
-        // once a report has reached the leader and its order has come back.
-        let notice = self
-            .state
-            .propagation_delay()
-            .min(remaining / PROPAGATION_WAIT_DIVISOR);
+        // While no leader orders loads, or none is planned, a request that comes back
+        // finds no more than one that waits.
+        let target = self.exchange.route.target_latency();
+        let notice = if self.state.is_isolated() {
+            Duration::ZERO
+        } else {
+            target.min(remaining / PROPAGATION_WAIT_DIVISOR)
+        };
         if !self.is_demand_recorded {
             self.is_demand_recorded = true;
             self.state.request_load(request, notice);
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -18,7 +18,8 @@
 };
 use sequoiawing_policy::serving::{
     Assignment, AttemptOutcome, Balancer, BalancerRequest, HubRole, HubSelector, HubStatus,
-    LatenessMeter, PeerView, PickResult, ReportedLoad, RetryWindow, SharedTokenBucket,
+    IsolationDetector, LatenessMeter, PeerView, PickResult, ReportedLoad, RetryWindow,
+    SharedTokenBucket,
 };
 use sequoiawing_runtime::Clock;
 use sequoiawing_telemetry::Meters;
@@ -146,6 +147,7 @@
     pub(crate) open_requests: AtomicU64,
     /// The tunnels that are open for other gateways.
     pub(crate) open_tunnels: AtomicUsize,
+    pub(crate) isolation: Mutex<IsolationDetector>,
     pub(crate) quarantine: QuarantineState,
     /// The buffered bodies of upstreams' responses.
     pub(crate) bodies: BodyBuffers,
@@ -191,6 +193,7 @@
             urgent_report: Event::new(),
             open_requests: AtomicU64::new(0),
             open_tunnels: AtomicUsize::new(0),
+            isolation: Mutex::default(),
             quarantine: QuarantineState::new(rand::random()),
             bodies: BodyBuffers::default(),
         }
@@ -206,10 +209,16 @@
         self.index.load_full()
     }
 
-    /// Returns whether the gateway accepts requests: it has a configuration and is
-    /// not shutting down.
+    /// Returns whether the gateway accepts requests: it has a configuration, is not
+    /// shutting down and its data centre is not cut off from all others.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.load(Ordering::Relaxed) && self.index.load().version() > 0
+        let is_stopping = self.is_stopping.load(Ordering::Relaxed);
+        !is_stopping && self.index.load().version() > 0 && !self.is_isolated()
+    }
+
+    /// Returns whether the data centre is cut off from all others.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.isolation.lock().is_isolated()
     }
 
     /// Returns the gateways that share the rate limits.
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -244,6 +244,14 @@
         due.map(|(_, ready)| *ready).min()
     }
 
+    /// Returns the upstreams of other data centres, with their addresses.
+    pub fn remote_upstreams(&self, centre: &Name) -> Vec<(Name, SocketAddr)> {
+        let states = self.upstreams.values().map(|upstream| &upstream.state);
+        let remote = states.filter(|state| state.centre != *centre && !state.leaving);
+        let addresses = remote.filter_map(|state| Some((state.name.clone(), state.address?)));
+        addresses.collect()
+    }
+
     /// Returns the upstreams that could not be reached lately.
     pub fn unreachable(&self, now: Time) -> Vec<Name> {
         let failed = self.upstreams.values().filter(|u| u.was_unreachable(now));
--- a/crates/sequoiawing_policy/src/serving/hub_selector.rs
+++ b/crates/sequoiawing_policy/src/serving/hub_selector.rs
@@ -191,6 +191,15 @@
         })
     }
 
+    /// Returns the time since the last sign of the log's majority that any hub passed on.
+    pub fn log_age(&self, now: Time) -> Option<Duration> {
+        let ages = self.hubs.values().filter_map(|state| {
+            let status = state.status.as_ref()?;
+            Some(status.age + now.since(state.answered?))
+        });
+        ages.min()
+    }
+
     /// Returns the hub beside the leader of the log, or the nearest one if none is known
     /// to lead.
     pub fn leader(&self, now: Time) -> Option<SocketAddr> {
--- a/crates/sequoiawing_policy/src/serving/loader/engine.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/engine.rs
@@ -20,6 +20,10 @@
 /// state.
 const UNANSWERED_DELAY: Duration = Duration::from_millis(500);
 
+/// How long an engine may take to answer an order before another one may load the model.
+/// Most answer within a few milliseconds.
+const ORDER_PATIENCE: Duration = Duration::from_millis(250);
+
 /// The backoff for an engine that did not answer.
 const SILENT_BACKOFF: Duration = Duration::from_secs(1);
 
@@ -121,6 +125,10 @@
     held: BTreeMap<Name, Time>,
     accepted: Option<u64>,
     pending: Option<PendingOrder>,
+    /// When the last order was sent.
+    ordered: Time,
+    /// Whether the last order was not answered.
+    is_unanswered: bool,
     awaiting_report: bool,
     backoff_until: Time,
     /// The time until which announcements may show the state before the last
@@ -146,6 +154,8 @@
             last_adapter_load: None,
             accepted: None,
             pending: None,
+            ordered: Time::ZERO,
+            is_unanswered: false,
             awaiting_report: false,
             backoff_until: Time::ZERO,
             stale_until: Time::ZERO,
@@ -208,6 +218,12 @@
         self.job.is_none() && self.is_serving() && now >= self.backoff_until
     }
 
+    /// Returns whether the engine leaves an order unanswered. It may carry it out later.
+    pub(super) fn is_stalled(&self, now: Time) -> bool {
+        let is_late = self.pending.is_some() && now >= self.ordered + ORDER_PATIENCE;
+        is_late || self.is_unanswered
+    }
+
     /// Returns whether the models of the engine can serve requests.
     pub(super) fn is_serving(&self) -> bool {
         !self.state.leaving && !self.is_unreachable
@@ -316,6 +332,7 @@
     /// one started.
     pub(super) fn on_reply(&mut self, now: Time, reply: EngineReply) -> Option<LoadSource> {
         let pending = self.pending.take()?;
+        self.is_unanswered = reply == EngineReply::Unknown;
         match reply {
             EngineReply::Started => {
                 self.accepted = self.accepted.map(|a| a + 1);
@@ -464,6 +481,7 @@
             return;
         };
         self.pending = Some(pending);
+        self.ordered = now;
         out.push(LoaderAction::Order {
             engine: name.clone(),
             kind,
--- a/crates/sequoiawing_policy/src/serving/loader/inventory.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/inventory.rs
@@ -1,5 +1,5 @@
 use super::{LoadSource, engine::Engine};
-use sequoiawing_types::Name;
+use sequoiawing_types::{Name, Time};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// The models held by the engines of one pool, as of one decision.
@@ -20,12 +20,15 @@
 }
 
 impl PoolInventory {
-    /// Adds the models of a serving engine.
-    pub(super) fn add(&mut self, engine: &Engine) {
+    /// Adds the models of a serving engine. The load of one that leaves an order
+    /// unanswered does not count, so that another engine takes it over.
+    pub(super) fn add(&mut self, now: Time, engine: &Engine) {
         let loading = engine.job.as_ref().map(|job| &job.model);
+        let stalled = loading.filter(|_| engine.is_stalled(now));
+        let loading = loading.filter(|_| stalled.is_none());
         self.loading.extend(loading.cloned());
         let held = engine.held().filter(|m| Some(*m) != loading);
-        let remaining = held.filter(|m| engine.will_hold(m));
+        let remaining = held.filter(|m| engine.will_hold(m) && Some(*m) != stalled);
         for model in remaining.chain(loading) {
             *self.replicas.entry(model.clone()).or_default() += 1;
         }
--- a/crates/sequoiawing_policy/src/serving/loader/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/mod.rs
@@ -347,7 +347,7 @@
         for (name, engine) in engines.filter(|(_, e)| e.state.pool == pool.name) {
             inventory.engines += 1;
             if engine.is_serving() {
-                inventory.add(engine);
+                inventory.add(now, engine);
             }
             if engine.is_free(now) {
                 inventory
--- a/crates/sequoiawing_policy/tests/loader/main.rs
+++ b/crates/sequoiawing_policy/tests/loader/main.rs
@@ -219,3 +219,37 @@
     assert_eq!(missed, 0, "requests missed an adapter in steady use");
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// Orders go unanswered for a while and are carried out seconds later, and a model is
+/// missed meanwhile. Guards against requests that wait for one engine alone.
+#[test]
+fn model_is_loaded_elsewhere_if_an_order_is_not_answered() {
+    let mut slowest = Duration::ZERO;
+    for seed in 0..24 {
+        let faults = Faults {
+            delayed: true,
+            ..Faults::default()
+        };
+        let mut world = World::new(seed, faults);
+        world.is_idle = true;
+        world.run(Duration::from_secs(8));
+        let model = world.unloaded_on_disk();
+        world.copy_to_disks(&model);
+        world.run(Duration::from_millis(1_300));
+        let missed = world.now;
+        world.set_lost(1.0);
+        while !world.is_loaded(&model) {
+            world.miss(&model);
+            world.run(Duration::from_millis(50));
+            if world.now.since(missed) >= Duration::from_millis(150) {
+                world.set_lost(0.0);
+            }
+        }
+        slowest = slowest.max(world.now.since(missed));
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+    assert!(
+        slowest <= Duration::from_millis(2_000),
+        "{slowest:?} from the first request"
+    );
+}
--- a/crates/sequoiawing_policy/tests/loader/world.rs
+++ b/crates/sequoiawing_policy/tests/loader/world.rs
@@ -230,6 +230,13 @@
         found.expect("some model is on disk only")
     }
 
+    /// Copies a model to the disks of all engines.
+    pub(crate) fn copy_to_disks(&mut self, model: &Name) {
+        for engine in self.engines.values_mut() {
+            engine.disk.insert(model.clone());
+        }
+    }
+
     pub(crate) fn request(&mut self, model: &Name, requests: u64) {
         let missed = if self.is_loaded(model) { 0 } else { requests };
         self.handle(LoaderEvent::Demand {
@@ -288,6 +295,11 @@
         });
     }
 
+    /// Lets orders go unanswered, or no longer.
+    pub(crate) fn set_lost(&mut self, share: f64) {
+        self.faults.lost = share;
+    }
+
     pub(crate) fn miss(&mut self, model: &Name) {
         self.request(model, 1);
     }
@@ -357,11 +369,22 @@
         if is_lost && self.faults.delayed {
             let wait = self.rng.random_range(500..4_000);
             self.schedule(wait, Pending::Order(name.clone(), kind, expected));
-            self.reply(name, EngineReply::Unknown);
+            self.give_up(name);
             return;
         }
         let reply = self.execute(&name, &kind, expected);
-        self.reply(name, if is_lost { EngineReply::Unknown } else { reply });
+        if is_lost {
+            self.give_up(name);
+        } else {
+            self.reply(name, reply);
+        }
+    }
+
+    /// Gives up an order that was not answered in time.
+    fn give_up(&mut self, engine: Name) {
+        let reply = EngineReply::Unknown;
+        let event = LoaderEvent::OrderAnswered { engine, reply };
+        self.schedule(1_000, Pending::Event(event));
     }
 
     fn reply(&mut self, engine: Name, reply: EngineReply) {
