Hubs pass on only what they learned first hand

Each announcement reached each hub from all four others, and each gateway's use from both hubs that it follows: the bytes grew with the square of the hubs. A hub now passes on the announcements made to itself and the use of the gateways that rely on it; while it is out of touch with a third hub, another one passes everything on as before, from the start. Tests: own_announcements_are_those_made_to_this_process, usage_is_forwarded_by_the_hub_that_a_gateway_relies_on.

--- a/crates/sequoiawing_fleet/src/roster.rs
+++ b/crates/sequoiawing_fleet/src/roster.rs
@@ -44,6 +44,9 @@
     Changes,
     /// Every announcement, for followers that detect silent upstreams.
     Announcements,
+    /// The announcements of upstreams to this process itself, for followers that get
+    /// those to others from them.
+    OwnAnnouncements,
 }
 
 #[derive(Clone, Debug)]
@@ -54,6 +57,8 @@
     changed: u64,
     /// The stamp of the last announcement.
     announced: u64,
+    /// The stamp of the last announcement to this process itself.
+    announced_here: u64,
 }
 
 /// The upstreams of a deployment, as they announce themselves.
@@ -86,7 +91,20 @@
     pub fn announce(&mut self, now: Time, state: UpstreamState) -> bool {
         let gone = false;
         let state = Arc::new(state);
-        self.apply(now, RosterEntry { state, gone })
+        self.apply_own(now, RosterEntry { state, gone })
+    }
+
+    /// Applies an entry that this process learned of by itself; returns whether the known
+    /// state changed.
+    fn apply_own(&mut self, now: Time, listed: RosterEntry) -> bool {
+        let name = listed.state.name.clone();
+        let version = listed.state.version();
+        let has_changed = self.apply(now, listed);
+        let entry = self.entries.get_mut(&name);
+        if let Some(entry) = entry.filter(|e| e.listed.state.version() == version) {
+            entry.announced_here = entry.announced;
+        }
+        has_changed
     }
 
     /// Marks an upstream as gone because it has left; returns whether the known
@@ -106,7 +124,7 @@
         state.sequence = u64::MAX;
         state.leaving = true;
         let state = Arc::new(state);
-        self.apply(now, RosterEntry { state, gone: true })
+        self.apply_own(now, RosterEntry { state, gone: true })
     }
 
     /// Applies an entry of another roster; returns whether the known state
@@ -130,6 +148,7 @@
             last_heard: now,
             changed,
             announced: self.stamp,
+            announced_here: 0,
         };
         self.entries.insert(name, entry);
         !is_same
@@ -195,11 +214,13 @@
         let stamp = |e: &TrackedEntry| match interest {
             Interest::Changes => e.changed,
             Interest::Announcements => e.announced,
+            Interest::OwnAnnouncements if is_known => e.announced_here,
+            Interest::OwnAnnouncements => e.announced,
         };
         let newer = self.entries.values().filter(|e| stamp(e) > after);
         let listed = newer.map(|e| match interest {
             Interest::Changes => without_checkpoints(&e.listed),
-            Interest::Announcements => e.listed.clone(),
+            Interest::Announcements | Interest::OwnAnnouncements => e.listed.clone(),
         });
         RosterUpdate {
             cursor: Cursor {
--- a/crates/sequoiawing_fleet/tests/roster.rs
+++ b/crates/sequoiawing_fleet/tests/roster.rs
@@ -166,3 +166,45 @@
         }
     }
 }
+
+/// Guards against announcements that each hub passes on to each other: they travel once for
+/// each hub in place of once for each pair.
+#[test]
+fn own_announcements_are_those_made_to_this_process() {
+    let at = Time::from_millis(10);
+    let mut first = Roster::new(1);
+    let mut second = Roster::new(2);
+    let start = second
+        .updates_since(Cursor::default(), Interest::OwnAnnouncements)
+        .cursor;
+    first.announce(at, state("a", 1, 1, 1, false));
+    for listed in first
+        .updates_since(Cursor::default(), Interest::Announcements)
+        .listed
+    {
+        second.apply(at, listed);
+    }
+    second.announce(at, state("b", 1, 1, 2, false));
+    let names = |cursor, interest| -> Vec<Name> {
+        let update = second.updates_since(cursor, interest);
+        update
+            .listed
+            .into_iter()
+            .map(|e| e.state.name.clone())
+            .collect()
+    };
+    assert_eq!(names(start, Interest::OwnAnnouncements), [Name::from("b")]);
+    assert_eq!(names(start, Interest::Announcements).len(), 2);
+    let other = Cursor::default();
+    assert_eq!(
+        names(other, Interest::OwnAnnouncements).len(),
+        2,
+        "a new follower"
+    );
+    let mut second = second.clone();
+    second.leave(at, &Name::from("b"), None);
+    let left = second
+        .updates_since(start, Interest::OwnAnnouncements)
+        .listed;
+    assert!(left[0].gone, "a departure is an announcement");
+}
--- a/crates/sequoiawing_hub/src/aggregation.rs
+++ b/crates/sequoiawing_hub/src/aggregation.rs
@@ -47,6 +47,8 @@
     /// The stamp of its last report to this hub; 0 if there was none.
     #[serde(rename = "reported")]
     report_stamp: u64,
+    /// Whether it relies on another hub more than on this one.
+    relies_elsewhere: bool,
 }
 
 impl Gateway {
@@ -63,6 +65,7 @@
             quarantine: QuarantineReport::default(),
             tokens: Vec::new(),
             report_stamp: 0,
+            relies_elsewhere: false,
         }
     }
 
@@ -116,6 +119,7 @@
         self.merge(now, &usage);
         if let Some(gateway) = self.gateways.get_mut(&report.host) {
             gateway.report_stamp = stamp;
+            gateway.relies_elsewhere = report.skips_roster;
         }
     }
 
@@ -153,11 +157,17 @@
     }
 
     /// Returns the newest stamp, and the usage that gateways reported to this hub
-    /// after `stamp`.
-    pub fn changes_since(&self, now: Time, stamp: u64) -> (u64, Vec<GatewayUsage>) {
+    /// after `stamp`. Those that rely on another hub are left out unless `wants_all`.
+    pub fn changes_since(
+        &self,
+        now: Time,
+        stamp: u64,
+        wants_all: bool,
+    ) -> (u64, Vec<GatewayUsage>) {
         // A stamp from before this hub's restart exceeds the current ones.
         let after = if stamp > self.stamp { 0 } else { stamp };
         let newer = self.gateways.iter().filter(|(_, g)| g.report_stamp > after);
+        let newer = newer.filter(|(_, g)| wants_all || !g.relies_elsewhere);
         let usage = newer.map(|(host, g)| GatewayUsage {
             host: host.clone(),
             incarnation: g.incarnation,
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -94,6 +94,8 @@
     pub(crate) orders: Watch<u64>,
     /// When this host last gave an order to an engine.
     pub(crate) last_order: Mutex<Option<Time>>,
+    /// The other hubs that do not answer.
+    pub(crate) missing_hubs: Mutex<BTreeSet<IpAddr>>,
     /// The upstreams that gateways cannot reach.
     pub(crate) unreachable: Mutex<BTreeSet<Name>>,
     pub(crate) poison: Mutex<PoisonWatch>,
@@ -278,8 +280,15 @@
         let now = self.now();
         let seen = self.changes.get();
         let roster = self.roster.lock();
-        let roster = roster.updates_since(request.cursor, Interest::Announcements);
-        let (stamp, uses) = self.usage.lock().changes_since(now, request.stamp);
+        let interest = if request.wants_all {
+            Interest::Announcements
+        } else {
+            Interest::OwnAnnouncements
+        };
+        let roster = roster.updates_since(request.cursor, interest);
+        let usage = self.usage.lock();
+        let (stamp, uses) = usage.changes_since(now, request.stamp, request.wants_all);
+        drop(usage);
         let leads = self.handle.leadership().is_some();
         MirrorReply {
             roster,
@@ -457,6 +466,7 @@
             evictions: Mutex::default(),
             orders: Watch::default(),
             last_order: Mutex::default(),
+            missing_hubs: Mutex::default(),
             unreachable: Mutex::default(),
             poison: Mutex::default(),
             poison_reported: Event::new(),
--- a/crates/sequoiawing_hub/src/mirror.rs
+++ b/crates/sequoiawing_hub/src/mirror.rs
@@ -1,6 +1,7 @@
 //! Mirrors the state of the other hubs.
 
 use crate::hub::HubState;
+use sequoiawing_fleet::Cursor;
 use sequoiawing_link::{HubClient, MirrorReply, MirrorRequest};
 use sequoiawing_runtime::{Shutdown, sleep, spawn};
 use std::{collections::BTreeSet, net::IpAddr, sync::Arc, time::Duration};
@@ -40,6 +41,10 @@
         // Dropping a task cancels it.
         tasks.retain(|(host, _)| members.contains(host));
         mirrored.retain(|host| members.contains(host));
+        state
+            .missing_hubs
+            .lock()
+            .retain(|host| members.contains(host));
         if shutdown.or(sleep(MEMBERSHIP_INTERVAL)).await.is_none() {
             return;
         }
@@ -51,6 +56,13 @@
     let mut request = MirrorRequest::default();
     let mut is_connected = false;
     loop {
+        let wants_all = state.missing_hubs.lock().iter().any(|hub| *hub != host);
+        if wants_all && !request.wants_all {
+            // What was left out before is wanted now.
+            request.cursor = Cursor::default();
+            request.stamp = 0;
+        }
+        request.wants_all = wants_all;
         let leads = state
             .handle
             .status()
@@ -64,6 +76,7 @@
                     log::info!(target: "hub", "Connected to the hub on {host}.");
                 }
                 is_connected = true;
+                state.missing_hubs.lock().remove(&host);
                 request.cursor = update.roster.cursor;
                 request.stamp = update.stamp;
                 request.seen = update.seen;
@@ -74,6 +87,7 @@
                     log::warn!(target: "hub", "Lost connection to the hub on {host}: {error}.");
                 }
                 is_connected = false;
+                state.missing_hubs.lock().insert(host);
             }
         }
         sleep(if leads && is_connected {
--- a/crates/sequoiawing_hub/tests/aggregation.rs
+++ b/crates/sequoiawing_hub/tests/aggregation.rs
@@ -147,26 +147,45 @@
         [report("a", 2, 3)], [forwarded("a", 1, 10, 0)] => 3;
 }
 
+/// Guards against usage that reaches each hub once from each hub that a gateway follows.
+#[test]
+fn usage_is_forwarded_by_the_hub_that_a_gateway_relies_on() {
+    let mut usage = UsageAggregator::default();
+    let now = Time::from_millis(500);
+    let standby = GatewayReport {
+        skips_roster: true,
+        ..report("a", 1, 10)
+    };
+    usage.record(now, &standby);
+    usage.record(now, &report("b", 1, 5));
+    let hosts = |wants_all| -> Vec<Name> {
+        let (_, changes) = usage.changes_since(now, 0, wants_all);
+        changes.into_iter().map(|u| u.host).collect()
+    };
+    assert_eq!(hosts(false), [Name::from("b")]);
+    assert_eq!(hosts(true).len(), 2, "a hub is out of touch with another");
+}
+
 #[test]
 fn only_reports_to_the_hub_itself_are_forwarded() {
     let mut usage = UsageAggregator::default();
     let now = Time::from_millis(500);
     usage.record(now, &report("a", 1, 10));
     usage.merge(now, &forwarded("b", 1, 5, 0));
-    let (stamp, changes) = usage.changes_since(Time::from_millis(600), 0);
+    let (stamp, changes) = usage.changes_since(Time::from_millis(600), 0, true);
     assert_eq!(changes, [forwarded("a", 1, 10, 100)]);
     assert!(
-        usage.changes_since(now, stamp).1.is_empty(),
+        usage.changes_since(now, stamp, true).1.is_empty(),
         "usage is forwarded once per stamp"
     );
     usage.record(now, &report("a", 1, 11));
     assert_eq!(
-        usage.changes_since(now, stamp).1,
+        usage.changes_since(now, stamp, true).1,
         [forwarded("a", 1, 11, 0)]
     );
     let beyond = stamp + 100;
     assert_eq!(
-        usage.changes_since(now, beyond).1.len(),
+        usage.changes_since(now, beyond, true).1.len(),
         1,
         "a stamp from before a restart returns all usage"
     );
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -257,6 +257,9 @@
     pub seen: u64,
     /// The maximum time to wait for changes before replying, in milliseconds.
     pub wait: u64,
+    /// Whether to pass on what the other hub itself learned from further hubs, since the
+    /// sender is out of touch with one.
+    pub wants_all: bool,
 }
 
 /// The reply of a hub to a [`MirrorRequest`].
