Hundreds of hosts spread their requests over the upstreams that hold a model

Cause of the red tests: equal costs went to the first upstream of the roster at every host. Now the hosts prefer the same upstream for the same shared prompt parts (rendezvous hashing), and any for requests without; one of their own data centre is preferred where nothing else speaks against it. Ruled out: loads passed on by hubs, which are older than the requests that make them.

--- a/crates/sequoiawing_gateway/src/exchange.rs
+++ b/crates/sequoiawing_gateway/src/exchange.rs
@@ -151,6 +151,7 @@
             model: self.meta.model.clone(),
             adapter: self.meta.adapter.clone(),
             parts: self.meta.parts.clone(),
+            seed: self.attempt,
             tried: Vec::new(),
             is_waiting: false,
         }
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -162,6 +162,7 @@
             Translations::new(&settings.translations),
             Secret::from(settings.secret.as_str()),
         ));
+        let balancer = Balancer::new(settings.centre.clone());
         let mut hubs = HubSelector::new(settings.centre.clone(), rand::random());
         for hub in &settings.hubs {
             hubs.add(Time::ZERO, *hub, true);
@@ -178,7 +179,7 @@
             clock,
             index: ArcSwap::default(),
             roster: Mutex::new(Roster::new(rand::random())),
-            balancer: Mutex::default(),
+            balancer: Mutex::new(balancer),
             rates: Mutex::default(),
             retries: Mutex::default(),
             demand: Mutex::default(),
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -1,4 +1,6 @@
-use super::{HostLimitReport, PromptPart, ReportedLoad, ToldLimit, upstream::Upstream};
+use super::{
+    HostLimitReport, PrefixAffinity, PromptPart, ReportedLoad, ToldLimit, upstream::Upstream,
+};
 use sequoiawing_fleet::{RosterEntry, UpstreamState};
 use sequoiawing_types::{Name, RequestRate, Time};
 use slotmap::{SlotMap, new_key_type};
@@ -18,6 +20,10 @@
 /// delays a request as much as prefilling this many tokens does.
 const LOAD_TOKENS: f64 = 60.0;
 
+/// The cost of an upstream in another data centre, in prompt tokens: connecting,
+/// sending and answering there takes some milliseconds more.
+const REMOTE_TOKENS: f64 = 150.0;
+
 /// The cost of an upstream that fails all requests, in prompt tokens: sending a
 /// request to it is as bad as prefilling this many tokens elsewhere.
 const FAILURE_TOKENS: f64 = 20_000.0;
@@ -39,6 +45,8 @@
     pub adapter: Option<Name>,
     /// The parts of the prompt.
     pub parts: Arc<[PromptPart]>,
+    /// A random number, which spreads requests without shared parts.
+    pub seed: u64,
     /// The upstreams that the request was already sent to.
     pub tried: Vec<Name>,
     /// Whether it was refused before and waits. It then counts as no new demand.
@@ -102,6 +110,8 @@
 /// Assigns the requests of one host to upstreams.
 #[derive(Debug, Default)]
 pub struct Balancer {
+    /// The data centre of this host.
+    centre: Name,
     upstreams: SlotMap<UpstreamKey, Upstream>,
     names: HashMap<Name, UpstreamKey>,
     pools: HashMap<Name, Vec<UpstreamKey>>,
@@ -117,6 +127,14 @@
 }
 
 impl Balancer {
+    /// Creates a balancer without upstreams for a host in the data centre `centre`.
+    pub fn new(centre: Name) -> Self {
+        Self {
+            centre,
+            ..Self::default()
+        }
+    }
+
     /// Sets the prefix cache capacity of the engines of a pool, in tokens.
     pub fn set_cache_tokens(&mut self, pool: &Name, tokens: u64) {
         self.cache_tokens.insert(pool.clone(), tokens);
@@ -276,8 +294,7 @@
         let keys = self.pools.get(&request.pool).map_or(&[][..], Vec::as_slice);
         let mut has_upstream = false;
         let mut has_candidate = false;
-        let mut best: Option<(f64, UpstreamKey)> = None;
-        let mut best_limited: Option<(f64, UpstreamKey)> = None;
+        let mut candidates = Vec::new();
         let all_silent = self.are_all_silent(keys);
         for key in keys {
             let upstream = &self.upstreams[*key];
@@ -293,18 +310,33 @@
                 continue;
             }
             has_candidate = true;
-            if now < upstream.retry_at || is_full(now, upstream) {
-                continue;
+            if now >= upstream.retry_at && !is_full(now, upstream) {
+                candidates.push(*key);
             }
-            let cost = cost(now, upstream, request);
-            let upstream = &mut self.upstreams[*key];
-            let best = if upstream.limit.permits(now, self.hosts) {
+        }
+        let mut best: Option<(f64, UpstreamKey)> = None;
+        let mut best_limited: Option<(f64, UpstreamKey)> = None;
+        let affinity = PrefixAffinity::new(request);
+        let names = candidates
+            .iter()
+            .map(|key| &self.upstreams[*key].state.name);
+        let order = affinity.order(names);
+        for (position, index) in order.into_iter().enumerate() {
+            let key = candidates[index];
+            let expected = if position == 0 {
+                affinity.tokens()
+            } else {
+                0.0
+            };
+            let cost = self.cost(now, &self.upstreams[key], request, expected);
+            let permits = self.upstreams[key].limit.permits(now, self.hosts);
+            let best = if permits {
                 &mut best
             } else {
                 &mut best_limited
             };
             if best.is_none_or(|(least, _)| cost < least) {
-                *best = Some((cost, *key));
+                *best = Some((cost, key));
             }
         }
         // A request that goes elsewhere for want of a token is demand for one.
@@ -320,6 +352,31 @@
         }
     }
 
+    /// Estimates the time to first token, as the number of prompt tokens that could be
+    /// prefilled meanwhile. `expected` is the number of prompt tokens that the upstream
+    /// can be expected to have cached for requests of other hosts.
+    fn cost(
+        &self,
+        now: Time,
+        upstream: &Upstream,
+        request: &BalancerRequest,
+        expected: f64,
+    ) -> f64 {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "prompts are far below 2^52 tokens"
+        )]
+        let (uncached, total) = (
+            upstream.prefixes.uncached(&request.parts) as f64,
+            request.parts.iter().map(|p| p.tokens).sum::<u64>() as f64,
+        );
+        let uncached = uncached.min(total - expected);
+        let load = f64::from(upstream.load(now)) * LOAD_TOKENS;
+        let is_remote = upstream.state.centre != self.centre;
+        let distance = if is_remote { REMOTE_TOKENS } else { 0.0 };
+        uncached + load + distance + upstream.failure_rate() * FAILURE_TOKENS
+    }
+
     /// Returns whether all upstreams are silent. This happens in a network
     /// partition, where silence does not mean that an upstream has failed.
     fn are_all_silent(&self, keys: &[UpstreamKey]) -> bool {
@@ -434,15 +491,3 @@
     let bound = slots + (slots * QUEUE_PER_SLOT).max(1.0);
     slots > 0.0 && f64::from(upstream.load(now)) >= bound
 }
-
-/// Estimates the time to first token, as the number of prompt tokens that could
-/// be prefilled meanwhile.
-fn cost(now: Time, upstream: &Upstream, request: &BalancerRequest) -> f64 {
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "prompts are far below 2^52 tokens"
-    )]
-    let uncached = upstream.prefixes.uncached(&request.parts) as f64;
-    let load = f64::from(upstream.load(now)) * LOAD_TOKENS;
-    uncached + load + upstream.failure_rate() * FAILURE_TOKENS
-}
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -11,6 +11,7 @@
 mod isolation;
 mod lateness;
 mod loader;
+mod prefix_affinity;
 mod prefix_cache;
 mod quarantine;
 mod retry_window;
@@ -29,6 +30,7 @@
 pub use isolation::IsolationDetector;
 pub use lateness::LatenessMeter;
 pub use loader::{LoadPlan, LoaderAction, LoaderEvent, LoaderSettings, ModelLoader};
+use prefix_affinity::PrefixAffinity;
 pub use prefix_cache::{PrefixCache, PromptPart};
 pub use quarantine::{
     CrashedAnswer, PoisonDetector, Quarantine, QuarantineDecision, QuarantineSettings,
--- a/crates/sequoiawing_policy/tests/many_hosts.rs
+++ b/crates/sequoiawing_policy/tests/many_hosts.rs
@@ -86,6 +86,7 @@
             pool: Name::from("pool"),
             model: Some(Name::from("m")),
             parts: parts.clone(),
+            seed: rng.random(),
             ..BalancerRequest::default()
         };
         let PickResult::Assigned(assigned) = hosts[host].pick(now, &request) else {
