--- a/crates/sequoiawing_fleet/src/roster.rs
+++ b/crates/sequoiawing_fleet/src/roster.rs
@@ -213,9 +213,8 @@
         let after = if is_known { cursor.stamp } else { 0 };
         let stamp = |e: &TrackedEntry| match interest {
             Interest::Changes => e.changed,
-            Interest::Announcements => e.announced,
             Interest::OwnAnnouncements if is_known => e.announced_here,
-            Interest::OwnAnnouncements => e.announced,
+            Interest::Announcements | Interest::OwnAnnouncements => e.announced,
         };
         let newer = self.entries.values().filter(|e| stamp(e) > after);
         let listed = newer.map(|e| match interest {
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -309,8 +309,9 @@
                 .collect()
         };
         let now = self.now();
-        let previous = self.ordered_loads.lock().replace((now, ordered.clone()));
-        let is_same = previous.is_some_and(|(_, o)| targets(&o) == targets(&ordered));
+        let ordered_targets = targets(&ordered);
+        let previous = self.ordered_loads.lock().replace((now, ordered));
+        let is_same = previous.is_some_and(|(_, o)| targets(&o) == ordered_targets);
         if !is_same {
             self.orders.set(self.orders.get() + 1);
         }
@@ -326,9 +327,12 @@
         {
             return;
         }
-        let previous = current.replace((self.now(), evictions.clone()));
+        let is_same = current
+            .as_ref()
+            .is_some_and(|(_, e)| e.evicted == evictions.evicted);
+        *current = Some((self.now(), evictions));
         drop(current);
-        if previous.is_none_or(|(_, e)| e.evicted != evictions.evicted) {
+        if !is_same {
             self.notify_changed();
         }
     }
--- a/crates/sequoiawing_policy/tests/loader/main.rs
+++ b/crates/sequoiawing_policy/tests/loader/main.rs
@@ -249,7 +249,7 @@
         assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
     }
     assert!(
-        slowest <= Duration::from_millis(2_000),
+        slowest <= Duration::from_secs(2),
         "{slowest:?} from the first request"
     );
 }
