--- a/crates/sequoiawing_hub/src/aggregation.rs
+++ b/crates/sequoiawing_hub/src/aggregation.rs
@@ -47,8 +47,8 @@
     /// The stamp of its last report to this hub; 0 if there was none.
     #[serde(rename = "reported")]
     report_stamp: u64,
-    /// Whether it relies on another hub more than on this one.
-    relies_elsewhere: bool,
+    /// Whether this hub is its standby, and another one its primary.
+    is_standby: bool,
 }
 
 impl Gateway {
@@ -65,7 +65,7 @@
             quarantine: QuarantineReport::default(),
             tokens: Vec::new(),
             report_stamp: 0,
-            relies_elsewhere: false,
+            is_standby: false,
         }
     }
 
@@ -119,7 +119,7 @@
         self.merge(now, &usage);
         if let Some(gateway) = self.gateways.get_mut(&report.host) {
             gateway.report_stamp = stamp;
-            gateway.relies_elsewhere = report.skips_roster;
+            gateway.is_standby = report.skips_roster;
         }
     }
 
@@ -157,7 +157,7 @@
     }
 
     /// Returns the newest stamp, and the usage that gateways reported to this hub
-    /// after `stamp`. Those that rely on another hub are left out unless `wants_all`.
+    /// after `stamp`. Those whose primary is another hub are left out unless `wants_all`.
     pub fn changes_since(
         &self,
         now: Time,
@@ -167,7 +167,7 @@
         // A stamp from before this hub's restart exceeds the current ones.
         let after = if stamp > self.stamp { 0 } else { stamp };
         let newer = self.gateways.iter().filter(|(_, g)| g.report_stamp > after);
-        let newer = newer.filter(|(_, g)| wants_all || !g.relies_elsewhere);
+        let newer = newer.filter(|(_, g)| wants_all || !g.is_standby);
         let usage = newer.map(|(host, g)| GatewayUsage {
             host: host.clone(),
             incarnation: g.incarnation,
--- a/crates/sequoiawing_hub/tests/aggregation.rs
+++ b/crates/sequoiawing_hub/tests/aggregation.rs
@@ -149,7 +149,7 @@
 
 /// Guards against usage that reaches each hub once from each hub that a gateway follows.
 #[test]
-fn usage_is_forwarded_by_the_hub_that_a_gateway_relies_on() {
+fn usage_is_forwarded_by_the_primary_hub_of_a_gateway() {
     let mut usage = UsageAggregator::default();
     let now = Time::from_millis(500);
     let standby = GatewayReport {
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -81,7 +81,8 @@
     pub lost: Vec<Name>,
     /// The address at which the gateway opens tunnels to upstreams for others.
     pub tunnels: Option<SocketAddr>,
-    /// Whether another hub in touch with the log tells the gateway of the upstreams.
+    /// Whether the gateway gets the changes of upstreams from another hub, which is in
+    /// touch with the log.
     pub skips_roster: bool,
     /// What the gateway knows of crashed upstreams.
     pub quarantine: QuarantineReport,
@@ -231,8 +232,8 @@
     /// The number of these gateways that stopped reporting without announcing
     /// their shutdown.
     pub missing: u32,
-    /// The leader's evictions, as far as the hub knows them, unless another hub tells
-    /// of the upstreams.
+    /// The leader's evictions, as far as the hub knows them; left out with the changes of
+    /// upstreams.
     pub evictions: Option<OrderedEvictions>,
     /// The prompt parts that are suspected or quarantined.
     pub quarantine: QuarantineUpdate,
--- a/crates/sequoiawing_policy/src/serving/hub_selector.rs
+++ b/crates/sequoiawing_policy/src/serving/hub_selector.rs
@@ -179,7 +179,7 @@
     }
 
     /// Returns whether the primary hub answered just now and is in touch with the log.
-    /// It then tells of the upstreams, and no other hub needs to.
+    /// The gateway then gets the changes of upstreams from it alone.
     pub fn has_fresh_primary(&self, now: Time) -> bool {
         let primary = self.selected_hubs(now).first().copied();
         let state = primary.and_then(|hub| self.hubs.get(&hub));
--- a/crates/sequoiawing_policy/src/serving/isolation.rs
+++ b/crates/sequoiawing_policy/src/serving/isolation.rs
@@ -10,8 +10,8 @@
 
 /// Judges whether the data centre of a host is cut off from all others.
 ///
-/// Callers are better served elsewhere then: upstreams and hosts that order loads are out
-/// of reach. A deployment without a leader is not cut off, since its upstreams are reached.
+/// Callers are better served by other data centres then: most upstreams and the host that
+/// orders loads are out of reach. A deployment without a leader is not cut off, since its upstreams are reached.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct IsolationDetector {
     is_isolated: bool,
--- a/crates/sequoiawing_policy/src/serving/lateness.rs
+++ b/crates/sequoiawing_policy/src/serving/lateness.rs
@@ -4,7 +4,7 @@
 /// The weight of the newest prompt in the moving average of their lengths.
 const PROMPT_WEIGHT: f64 = 0.05;
 
-/// Tells answers that come late because their upstream is busy from those that come
+/// Distinguishes answers that come late because their upstream is busy from those that come
 /// late because their prompts are long.
 ///
 /// A prompt no longer than the average of its route is read in time by an upstream
--- a/crates/sequoiawing_policy/tests/isolation.rs
+++ b/crates/sequoiawing_policy/tests/isolation.rs
@@ -1,4 +1,4 @@
-//! Tests when the hosts of a data centre send callers elsewhere.
+//! Tests when the hosts of a data centre send callers to others.
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -71,7 +71,7 @@
                     continue;
                 }
                 *next = at + REPORT_CYCLE;
-                // The hub of its own data centre, and one elsewhere.
+                // The hub of its own data centre, and one of another.
                 let centre = (host.centre + i * 2) % CENTRES;
                 let is_cut = is_faulty && fault == Fault::CentreCut;
                 if is_cut && (centre == 0) != (host.centre == 0) {
@@ -115,9 +115,9 @@
 
 /// A data centre of 60 hosts is cut off for six seconds while callers still reach it.
 /// Guards against callers who are refused there as long as the cut lasts: platforms send
-/// them elsewhere only once no host of the data centre is ready.
+/// them to another one only once no host of the data centre is ready.
 #[test]
-fn all_hosts_of_a_cut_data_centre_send_callers_elsewhere() {
+fn no_host_of_a_cut_data_centre_stays_ready() {
     for seed in 0..8 {
         for (centre, times) in play(seed, Fault::CentreCut, 6_000) {
             if centre > 0 {
--- a/crates/sequoiawing_policy/tests/loader/main.rs
+++ b/crates/sequoiawing_policy/tests/loader/main.rs
@@ -223,7 +223,7 @@
 /// Orders go unanswered for a while and are carried out seconds later, and a model is
 /// missed meanwhile. Guards against requests that wait for one engine alone.
 #[test]
-fn model_is_loaded_elsewhere_if_an_order_is_not_answered() {
+fn another_engine_loads_a_model_if_an_order_is_not_answered() {
     let mut slowest = Duration::ZERO;
     for seed in 0..24 {
         let faults = Faults {
