Gateways reach their hubs sooner after a loss of power everywhere

Timeline: gateways start at 46.6 s, hubs between 46.8 and 47.1 s, the first configuration reaches a gateway at 48.0 s. Cause: a call to a hub that had no power when it was made hangs for 800 ms, and the next one follows 500 ms later. Change: until a first hub has answered, calls end after 300 ms and follow 150 ms later. Ruled out: the election (hubs hand out the configuration of their disks before it ends). Test: hosts_that_start_before_their_hubs_reach_them_soon (written with the change).

--- a/crates/sequoiawing_gateway/src/hub_sync.rs
+++ b/crates/sequoiawing_gateway/src/hub_sync.rs
@@ -19,9 +19,6 @@
 /// customers within the slack of their limits.
 const UPDATE_WAIT: Duration = Duration::from_millis(250);
 
-/// Timeout of a call to a hub.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// How often newly discovered hubs get a session.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -128,7 +125,8 @@
     /// Requests the hub's status; returns whether it answered.
     async fn probe(&self) -> bool {
         let call = async |client: HubClient, context| client.facts(context).await;
-        match self.stub.call(CALL_TIMEOUT, call).await {
+        let limit = self.state.hubs.lock().call_timeout();
+        match self.stub.call(limit, call).await {
             Ok(info) => {
                 self.update_hub(info);
                 true
@@ -183,7 +181,8 @@
             wait: u64::try_from(wait.as_millis()).unwrap_or_default(),
         };
         let call = async |client: HubClient, context| client.sync(context, report).await;
-        let update: SyncReply = match self.stub.call(CALL_TIMEOUT, call).await {
+        let limit = state.hubs.lock().call_timeout();
+        let update: SyncReply = match self.stub.call(limit, call).await {
             Ok(update) => update,
             Err(error) => {
                 log::debug!(target: "gateway", "Call to a hub failed: {error}.");
--- a/crates/sequoiawing_policy/src/serving/hub_selector.rs
+++ b/crates/sequoiawing_policy/src/serving/hub_selector.rs
@@ -46,6 +46,17 @@
 /// The interval between probes of a hub that did not answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The interval between probes of a hub while none has answered yet. After a loss of power
+/// everywhere, hosts serve no caller until then.
+const FIRST_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Timeout of a call to a hub.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Timeout of a call to a hub while none has answered yet. A connect to a host without
+/// power hangs, and one a moment later may succeed.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The silence after which a hub that is not a seed is removed.
 const REMOVE_AFTER: Duration = Duration::from_mins(1);
 
@@ -282,8 +293,24 @@
         let is_usable = self.hubs.get(&hub).is_some_and(|k| k.is_usable(now));
         if is_usable {
             PROBE_INTERVAL
-        } else {
+        } else if self.has_answer() {
             RETRY_INTERVAL
+        } else {
+            FIRST_INTERVAL
         }
     }
+
+    /// Returns the timeout of a call to a hub.
+    pub fn call_timeout(&self) -> Duration {
+        if self.has_answer() {
+            CALL_TIMEOUT
+        } else {
+            FIRST_TIMEOUT
+        }
+    }
+
+    /// Returns whether any hub has ever answered.
+    fn has_answer(&self) -> bool {
+        self.hubs.values().any(|state| state.answered.is_some())
+    }
 }
--- a/crates/sequoiawing_policy/tests/hub_selector.rs
+++ b/crates/sequoiawing_policy/tests/hub_selector.rs
@@ -220,3 +220,33 @@
     hubs.record_failure(now + Duration::from_millis(1), at(2));
     assert_eq!(hubs.leader(now), Some(at(1)), "any hub passes a request on");
 }
+
+/// All hosts lose power and start again within half a second of each other, the hubs last.
+/// Guards against gateways that wait for a second and more in a call to a hub that had no
+/// power, and serve no caller meanwhile.
+#[test]
+fn hosts_that_start_before_their_hubs_reach_them_soon() {
+    for start in (0..500).step_by(50) {
+        let mut hubs = HubSelector::new(Name::from("a"), 1);
+        hubs.add(Time::ZERO, hub(1), true);
+        // The hub answers 500 ms after the first host starts; calls before that hang.
+        let mut now = start;
+        while now < 500 {
+            let call = hubs.call_timeout() + hubs.probe_interval(Time::from_millis(now), hub(1));
+            hubs.record_failure(Time::from_millis(now), hub(1));
+            now += u64::try_from(call.as_millis()).expect("a short call");
+        }
+        assert!(now <= 1_000, "started at {start} ms, answered at {now} ms");
+    }
+    let mut hubs = HubSelector::new(Name::from("a"), 1);
+    hubs.add(Time::ZERO, hub(1), true);
+    let now = Time::from_millis(1_000);
+    hubs.record_answer(now, hub(1), status("a", true));
+    hubs.record_failure(now + Duration::from_millis(1), hub(1));
+    let interval = hubs.probe_interval(now + Duration::from_millis(2), hub(1));
+    assert!(
+        interval >= Duration::from_millis(500),
+        "later a lost hub is no haste"
+    );
+    assert!(hubs.call_timeout() >= Duration::from_millis(800));
+}
