--- a/crates/sequoiawing_gateway/src/load_requests.rs
+++ b/crates/sequoiawing_gateway/src/load_requests.rs
@@ -1,11 +1,23 @@
 //! Requests for loads of models and adapters that no upstream has.
 
-use crate::{GatewayState, state::DemandEvent};
-use sequoiawing_link::{HubClient, LoadRequest, ModelDemand, OrderedLoads};
+use crate::{GatewayState, cluster_view::ClusterView, state::DemandEvent};
+use sequoiawing_link::{
+    HubClient, LoadRequest, ModelDemand, OrderedEvictions, OrderedLoads, PlannedLoad,
+};
 use sequoiawing_policy::serving::BalancerRequest;
 use sequoiawing_runtime::spawn;
+use sequoiawing_types::{Name, Time};
 use std::{sync::Arc, time::Duration};
 
+/// How long after its estimated end a model load counts as done although the
+/// upstream has not announced it. Upstreams announce models at once, adapters
+/// later.
+const LOAD_SLACK: Duration = Duration::from_millis(250);
+
+/// How long a load that was requested counts after it was due. By then the
+/// upstream's announcement has arrived.
+const REQUESTED_TTL: Duration = Duration::from_millis(2_500);
+
 /// The time that a call may take in addition to its wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -60,4 +72,72 @@
             .ok()
             .flatten()
     }
+
+    /// Returns when the next load is expected to finish that a request waits for.
+    pub(crate) fn next_expected(&self, request: &BalancerRequest) -> Option<Time> {
+        self.balancer.lock().next_expected(self.now(), request)
+    }
+
+    /// Returns the estimated time until a model is loaded, if a load is in
+    /// progress.
+    pub(crate) fn time_until_loaded(&self, pool: &Name, model: &Name) -> Option<Duration> {
+        let now = self.now();
+        let cluster = self.cluster.lock();
+        let loads = cluster.loads.iter();
+        let matching = loads.filter(|(_, l)| l.pool == *pool && l.model == *model);
+        matching.map(|(at, _)| at.since(now)).min()
+    }
+
+    /// Applies the evictions that the leader ordered.
+    pub(crate) fn apply_evictions(
+        &self,
+        now: Time,
+        cluster: &mut ClusterView,
+        evictions: OrderedEvictions,
+    ) {
+        if evictions.term < cluster.term {
+            return;
+        }
+        cluster.term = evictions.term;
+        cluster.loads.retain(|(due, _)| now < *due + REQUESTED_TTL);
+        let mut balancer = self.balancer.lock();
+        balancer.set_expected(cluster.loads.iter().map(expected_load));
+        balancer.set_evicted(evictions.evicted);
+    }
+
+    /// Applies the loads that the leader's hub named in reply to a request for them.
+    pub(crate) fn apply_requested(&self, ordered: OrderedLoads) {
+        let now = self.now();
+        let mut cluster = self.cluster.lock();
+        if ordered.term < cluster.term {
+            return;
+        }
+        let requested = due_loads(now, ordered.loads);
+        let expected = requested.iter().map(expected_load);
+        self.balancer.lock().add_expected(expected);
+        cluster.loads.extend(requested);
+        drop(cluster);
+        self.upstreams_changed.notify(usize::MAX);
+    }
+}
+
+/// Returns loads with the times at which they are due.
+fn due_loads(now: Time, loads: Vec<PlannedLoad>) -> Vec<(Time, PlannedLoad)> {
+    // `Time` can't precede this process's start, so overdue loads count as due now.
+    let due = |load: &PlannedLoad| match load.late {
+        0 => now + Duration::from_millis(load.ready),
+        _ => now,
+    };
+    loads.into_iter().map(|load| (due(&load), load)).collect()
+}
+
+/// Returns the upstream of a load, the model or adapter, and when it counts as loaded.
+fn expected_load((due, load): &(Time, PlannedLoad)) -> (Name, Name, Time) {
+    let is_announced = !load.model.as_str().contains(':') && load.ready > 0;
+    let slack = if is_announced {
+        LOAD_SLACK
+    } else {
+        Duration::ZERO
+    };
+    (load.upstream.clone(), load.model.clone(), *due + slack)
 }
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -13,8 +13,7 @@
 use sequoiawing_fleet::{Cursor, Interest, Roster, RosterEntry};
 use sequoiawing_http::Client as HttpClient;
 use sequoiawing_link::{
-    DemandBatch, HubClient, ModelDemand, OrderedEvictions, OrderedLoads, PlannedLoad, Secret, Stub,
-    SyncReply, Translations,
+    DemandBatch, HubClient, ModelDemand, Secret, Stub, SyncReply, Translations,
 };
 use sequoiawing_policy::serving::{
     Assignment, AttemptOutcome, Balancer, BalancerRequest, HubRole, HubSelector, HubStatus,
@@ -34,15 +33,6 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// How long after its estimated end a model load counts as done although the
-/// upstream has not announced it. Upstreams announce models at once, adapters
-/// later.
-const LOAD_SLACK: Duration = Duration::from_millis(250);
-
-/// How long a load that was requested counts after it was due. By then the
-/// upstream's announcement has arrived.
-const REQUESTED_TTL: Duration = Duration::from_millis(2_500);
-
 /// The time from a report of a missing model to the leader's order, including
 /// the forwarding of both by hubs.
 const PROPAGATION_TIME: Duration = Duration::from_millis(150);
@@ -66,27 +56,6 @@
     last_number: u64,
 }
 
-/// Returns loads with the times at which they are due.
-fn due_loads(now: Time, loads: Vec<PlannedLoad>) -> Vec<(Time, PlannedLoad)> {
-    // `Time` can't precede this process's start, so overdue loads count as due now.
-    let due = |load: &PlannedLoad| match load.late {
-        0 => now + Duration::from_millis(load.ready),
-        _ => now,
-    };
-    loads.into_iter().map(|load| (due(&load), load)).collect()
-}
-
-/// Returns the upstream of a load, the model or adapter, and when it counts as loaded.
-fn expected_load((due, load): &(Time, PlannedLoad)) -> (Name, Name, Time) {
-    let is_announced = !load.model.as_str().contains(':') && load.ready > 0;
-    let slack = if is_announced {
-        LOAD_SLACK
-    } else {
-        Duration::ZERO
-    };
-    (load.upstream.clone(), load.model.clone(), *due + slack)
-}
-
 /// Creates the metrics if an address to scrape them is configured.
 fn create_meters(settings: &GatewaySettings) -> Option<Arc<Meters>> {
     settings.metrics?;
@@ -134,7 +103,7 @@
     /// What hubs are being asked to load.
     pub(crate) load_requests: Mutex<HashSet<DemandKey>>,
     hub_stubs: Mutex<HashMap<SocketAddr, Stub<HubClient>>>,
-    cluster: Mutex<ClusterView>,
+    pub(crate) cluster: Mutex<ClusterView>,
     pub(crate) hubs: Mutex<HubSelector>,
     /// Notified when the roles of hubs may have changed.
     pub(crate) hubs_changed: Event,
@@ -436,11 +405,6 @@
         self.balancer.lock().pick(self.now(), request)
     }
 
-    /// Returns when the next load is expected to finish that a request waits for.
-    pub(crate) fn next_expected(&self, request: &BalancerRequest) -> Option<Time> {
-        self.balancer.lock().next_expected(self.now(), request)
-    }
-
     /// Returns the upstreams that recently could not be reached.
     pub(crate) fn unreachable(&self) -> Vec<Name> {
         self.balancer.lock().unreachable(self.now())
@@ -477,16 +441,6 @@
         self.upstreams_changed.notify(usize::MAX);
     }
 
-    /// Returns the estimated time until a model is loaded, if a load is in
-    /// progress.
-    pub(crate) fn time_until_loaded(&self, pool: &Name, model: &Name) -> Option<Duration> {
-        let now = self.now();
-        let cluster = self.cluster.lock();
-        let loads = cluster.loads.iter();
-        let matching = loads.filter(|(_, l)| l.pool == *pool && l.model == *model);
-        matching.map(|(at, _)| at.since(now)).min()
-    }
-
     /// Applies a hub's response to a report; `reported` is the local usage that
     /// the report contained, `lost` are its lost upstreams.
     pub(crate) fn apply_hub_update(
@@ -541,33 +495,6 @@
         self.upstreams_changed.notify(usize::MAX);
     }
 
-    /// Applies the evictions that the leader ordered.
-    fn apply_evictions(&self, now: Time, cluster: &mut ClusterView, evictions: OrderedEvictions) {
-        if evictions.term < cluster.term {
-            return;
-        }
-        cluster.term = evictions.term;
-        cluster.loads.retain(|(due, _)| now < *due + REQUESTED_TTL);
-        let mut balancer = self.balancer.lock();
-        balancer.set_expected(cluster.loads.iter().map(expected_load));
-        balancer.set_evicted(evictions.evicted);
-    }
-
-    /// Applies the loads that the leader's hub named in reply to a request for them.
-    pub(crate) fn apply_requested(&self, ordered: OrderedLoads) {
-        let now = self.now();
-        let mut cluster = self.cluster.lock();
-        if ordered.term < cluster.term {
-            return;
-        }
-        let requested = due_loads(now, ordered.loads);
-        let expected = requested.iter().map(expected_load);
-        self.balancer.lock().add_expected(expected);
-        cluster.loads.extend(requested);
-        drop(cluster);
-        self.upstreams_changed.notify(usize::MAX);
-    }
-
     /// Applies the usage of all gateways. A customer that the hub does not list
     /// counts as unused, so that its first usage elsewhere is charged.
     fn apply_usage(&self, now: Time, used: &[(Name, u64)], reported: &[(Name, u64)], is_new: bool) {
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -12,9 +12,9 @@
 use sequoiawing_controller::ControllerHandle;
 use sequoiawing_fleet::{Interest, Roster, RosterUpdate, UpstreamState};
 use sequoiawing_link::{
-    ControlError, GatewayReport, Hub as _, HubClient, HubInfo, LinkListener, LoadRequest,
-    MirrorReply, MirrorRequest, ModelDemand, OrderedEvictions, OrderedLoads, PlannedLoad,
-    QuarantineReport, Secret, Stub, SyncReply, connection_handler,
+    ControlError, GatewayReport, Hub as _, HubClient, HubInfo, LinkListener, MirrorReply,
+    MirrorRequest, ModelDemand, OrderedEvictions, OrderedLoads, QuarantineReport, Secret, Stub,
+    SyncReply, connection_handler,
 };
 use sequoiawing_runtime::{Clock, Shutdown, Watch, sleep, spawn, timeout};
 use sequoiawing_tables::{Command, Outcome};
@@ -44,9 +44,6 @@
 /// report to this or another hub within a few reporting intervals.
 const USAGE_SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// How long a leader's orders are passed on without an update of them.
-const ORDERS_TTL: Duration = Duration::from_secs(2);
-
 /// How long a hub may lack contact with the log's majority and still receive the
 /// announcements of upstreams. An election takes less time.
 const MAX_MAJORITY_AGE: Duration = Duration::from_secs(2);
@@ -89,7 +86,7 @@
     /// The loads that this host ordered as the leader, and when it did.
     pub(crate) ordered_loads: Mutex<Option<(Time, OrderedLoads)>>,
     /// The evictions that the leader ordered, and when they were received.
-    evictions: Mutex<Option<(Time, OrderedEvictions)>>,
+    pub(crate) evictions: Mutex<Option<(Time, OrderedEvictions)>>,
     /// Counts changes of the loads that this host ordered.
     pub(crate) orders: Watch<u64>,
     /// When this host last gave an order to an engine.
@@ -300,92 +297,6 @@
         }
     }
 
-    /// Sets the loads that this host ordered as the leader.
-    pub(crate) fn set_ordered_loads(&self, ordered: OrderedLoads) {
-        let targets = |ordered: &OrderedLoads| -> Vec<(Name, Name)> {
-            let loads = ordered.loads.iter();
-            loads
-                .map(|l| (l.model.clone(), l.upstream.clone()))
-                .collect()
-        };
-        let now = self.now();
-        let ordered_targets = targets(&ordered);
-        let previous = self.ordered_loads.lock().replace((now, ordered));
-        let is_same = previous.is_some_and(|(_, o)| targets(&o) == ordered_targets);
-        if !is_same {
-            self.orders.set(self.orders.get() + 1);
-        }
-    }
-
-    /// Sets the evictions that the leader's hub ordered, unless they are of an older
-    /// term.
-    pub(crate) fn set_evictions(&self, evictions: OrderedEvictions) {
-        let mut current = self.evictions.lock();
-        if current
-            .as_ref()
-            .is_some_and(|(_, e)| e.term > evictions.term)
-        {
-            return;
-        }
-        let is_same = current
-            .as_ref()
-            .is_some_and(|(_, e)| e.evicted == evictions.evicted);
-        *current = Some((self.now(), evictions));
-        drop(current);
-        if !is_same {
-            self.notify_changed();
-        }
-    }
-
-    /// Returns the evictions that the leader ordered lately.
-    fn evictions(&self, now: Time) -> Option<OrderedEvictions> {
-        let evictions = self.evictions.lock();
-        let (_, evictions) = evictions
-            .as_ref()
-            .filter(|(at, _)| now.since(*at) <= ORDERS_TTL)?;
-        Some(evictions.clone())
-    }
-
-    /// Returns the loads that the leader ordered, with times relative to `now`.
-    pub(crate) fn ordered_loads(&self, now: Time) -> Option<OrderedLoads> {
-        let ordered = self.ordered_loads.lock().clone();
-        let (at, ordered) = ordered.filter(|(at, _)| now.since(*at) <= ORDERS_TTL)?;
-        let age = millis(now.since(at));
-        let aged = ordered.loads.into_iter().map(|load| PlannedLoad {
-            ready: load.ready.saturating_sub(age),
-            late: load.late + age.saturating_sub(load.ready),
-            ..load
-        });
-        Some(OrderedLoads {
-            loads: aged.collect(),
-            ..ordered
-        })
-    }
-
-    /// Returns the upstreams that announce what a request for a load asks for, without
-    /// those that were ordered to unload it.
-    pub(crate) fn holders(&self, request: &LoadRequest) -> Vec<Name> {
-        let demand = &request.demand;
-        let roster = self.roster.lock();
-        let live = roster.live().filter(|state| state.pool == demand.pool);
-        let holders = live.filter(|state| {
-            let has_adapter = |adapter| state.has_adapter(adapter);
-            state.has_model(&demand.model)
-                && demand.adapter.as_ref().is_none_or(has_adapter)
-                && !state.leaving
-        });
-        let mut holders: Vec<Name> = holders.map(|state| state.name.clone()).collect();
-        drop(roster);
-        if let Some((_, evictions)) = &*self.evictions.lock() {
-            let is_evicted = |name: &Name| {
-                let mut evicted = evictions.evicted.iter();
-                evicted.any(|(n, m)| n == name && *m == demand.model)
-            };
-            holders.retain(|name| !is_evicted(name));
-        }
-        holders
-    }
-
     fn expire(&self) {
         let now = self.now();
         self.roster.lock().expire(now);
@@ -419,7 +330,7 @@
     }
 }
 
-fn millis(span: Duration) -> u64 {
+pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/crates/sequoiawing_hub/src/lib.rs
+++ b/crates/sequoiawing_hub/src/lib.rs
@@ -13,6 +13,7 @@
 mod load_request;
 mod loader;
 mod mirror;
+mod orders;
 mod poison;
 mod relay;
 mod service;
--- a/crates/sequoiawing_hub/src/load_request.rs
+++ b/crates/sequoiawing_hub/src/load_request.rs
@@ -6,6 +6,7 @@
 use crate::hub::HubState;
 use sequoiawing_link::{HubClient, LoadRequest, OrderedLoads, PlannedLoad};
 use sequoiawing_runtime::timeout;
+use sequoiawing_types::Name;
 use std::time::Duration;
 
 /// The time that a call to the leader's hub may take in addition to its wait.
@@ -58,6 +59,30 @@
         is_underway || !self.holders(request).is_empty()
     }
 
+    /// Returns the upstreams that announce what a request for a load asks for, without
+    /// those that were ordered to unload it.
+    fn holders(&self, request: &LoadRequest) -> Vec<Name> {
+        let demand = &request.demand;
+        let roster = self.roster.lock();
+        let live = roster.live().filter(|state| state.pool == demand.pool);
+        let holders = live.filter(|state| {
+            let has_adapter = |adapter| state.has_adapter(adapter);
+            state.has_model(&demand.model)
+                && demand.adapter.as_ref().is_none_or(has_adapter)
+                && !state.leaving
+        });
+        let mut holders: Vec<Name> = holders.map(|state| state.name.clone()).collect();
+        drop(roster);
+        if let Some((_, evictions)) = &*self.evictions.lock() {
+            let is_evicted = |name: &Name| {
+                let mut evicted = evictions.evicted.iter();
+                evicted.any(|(n, m)| n == name && *m == demand.model)
+            };
+            holders.retain(|name| !is_evicted(name));
+        }
+        holders
+    }
+
     /// Returns the loads that meet a request: those that wait for an engine, are being
     /// carried out or are done.
     fn loads_for(&self, request: &LoadRequest) -> OrderedLoads {
--- a/crates/sequoiawing_policy/src/serving/loader/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/mod.rs
@@ -1,8 +1,10 @@
 //! Placement of models on engines.
 
+mod adapters;
 mod demand;
 mod engine;
 mod inventory;
+mod memory;
 mod victims;
 
 use super::{EngineReply, EngineReport};
@@ -26,10 +28,6 @@
 /// By then the engine has announced the adapter.
 const ADAPTER_PLAN_TTL: Duration = Duration::from_millis(2_500);
 
-/// How long an adapter waits for one that is not in use to give way. An engine that gives
-/// up one in use accepts no other order until its requests have ended.
-const ADAPTER_PATIENCE: Duration = Duration::from_secs(3);
-
 /// The limits of a [`ModelLoader`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoaderSettings {
@@ -502,79 +500,6 @@
         self.assign_load(now, pool, inventory, &model, rate + PREFETCH_VALUE);
     }
 
-    /// Queues the adapters that requests found missing.
-    fn queue_adapters(&mut self, now: Time, pool: &CatalogPool) {
-        let slots = pool.engine.as_ref().map_or(0, |e| e.adapter_slots);
-        for (model, adapter, missing) in self.demands.missed_adapters(now, &pool.name) {
-            let engines = self.engines.values_mut();
-            let holders = engines.filter(|e| e.state.pool == pool.name && e.holds(&model));
-            let mut holders: Vec<&mut Engine> = holders.filter(|e| e.is_serving()).collect();
-            if holders.is_empty() || holders.iter().any(|e| e.will_have_adapter(&adapter)) {
-                continue;
-            }
-            if !holders.iter().any(|e| e.has_adapter_slot(now, slots)) {
-                // Another replica has slots too.
-                self.demands.mark_overloaded(now, &pool.name, &model);
-                if missing < ADAPTER_PATIENCE {
-                    continue;
-                }
-            }
-            holders.sort_by_key(|e| {
-                let is_crowded = !e.has_adapter_slot(now, slots);
-                (is_crowded, e.load_delay(now), e.adapters.len())
-            });
-            if let Some(engine) = holders.into_iter().next() {
-                engine.queue_adapter(adapter, slots);
-            }
-        }
-    }
-
-    /// Returns the memory of a model in megabytes, or `u64::MAX` if the model
-    /// is unknown.
-    fn weights(&self, pool: &CatalogPool, model: &Name) -> u64 {
-        let spec = self.index.model(&pool.name, model);
-        spec.map_or(u64::MAX, |m| m.weights)
-    }
-
-    /// Returns the memory of an engine that is free for models, in megabytes,
-    /// after the reserve for adapters. Returns `None` if the engine may be
-    /// overcommitted.
-    fn free_memory(&self, pool: &CatalogPool, engine: &Engine) -> Option<u64> {
-        let capacity = pool.engine.as_ref()?.weights;
-        let models = engine.held_or_announced().map(|m| self.weights(pool, m));
-        let adapters = engine.adapters.keys().map(|adapter| {
-            let model = adapter.as_str().split_once(':').map(|(model, _)| model);
-            let model = Name::from(model.unwrap_or_default());
-            let spec = self.index.model(&pool.name, &model);
-            spec.map_or(0, |m| m.adapter_weights)
-        });
-        let models = models.fold(0, u64::saturating_add);
-        let adapters: u64 = adapters.sum();
-        capacity.checked_sub(models.saturating_add(adapters))?;
-        let adapters = adapters.max(self.index.adapter_reserve(&pool.name));
-        Some(capacity.saturating_sub(models + adapters))
-    }
-
-    /// Cancels loads that no longer fit, because an engine turned out to hold
-    /// more than assumed.
-    fn cancel_oversized(&mut self) {
-        let is_overcommitted = |engine: &Engine| {
-            let Some(needed) = engine.job.as_ref().and_then(Job::pending_memory) else {
-                return false;
-            };
-            let pool = self.index.pool(&engine.state.pool);
-            let free_memory = pool.and_then(|pool| self.free_memory(pool, engine));
-            free_memory.is_none_or(|free_memory| free_memory < needed)
-        };
-        let overcommitted = self.engines.iter().filter(|(_, e)| is_overcommitted(e));
-        let overcommitted: Vec<Name> = overcommitted.map(|(name, _)| name.clone()).collect();
-        for name in overcommitted {
-            if let Some(engine) = self.engines.get_mut(&name) {
-                engine.job = None;
-            }
-        }
-    }
-
     fn victims(
         &self,
         now: Time,
