All hubs learn that a gateway leaves; a waiting request asks again for its load

A gateway's last report went to each hub as to a standby, so that no hub passed it on and the others counted the gateway as missing, with its share of all rates, for 20 s (aggregation test, seen failing). A request whose load another request had asked for was not asked for again when that call ended in vain; no test of its own.

--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -235,10 +235,6 @@
         } else {
             target.min(remaining / PROPAGATION_WAIT_DIVISOR)
         };
-        if !self.is_demand_recorded {
-            self.is_demand_recorded = true;
-            self.state.request_load(request, notice);
-        }
         let name = request.adapter.as_ref().or(request.model.as_ref());
         let ready = name.and_then(|model| self.state.time_until_loaded(&request.pool, model));
         let refuse = |retry| {
@@ -247,6 +243,8 @@
         };
         let Some(ready) = ready else {
             let until = (self.started + notice).max(self.capacity_deadline());
+            // Another request's call may have ended without a load.
+            self.state.request_load(request, until.since(now));
             return (until, refuse(MODEL_MISSING_RETRY));
         };
         let wait = ready + LOAD_SLACK;
--- a/crates/sequoiawing_hub/src/aggregation.rs
+++ b/crates/sequoiawing_hub/src/aggregation.rs
@@ -119,7 +119,8 @@
         self.merge(now, &usage);
         if let Some(gateway) = self.gateways.get_mut(&report.host) {
             gateway.report_stamp = stamp;
-            gateway.is_standby = report.skips_roster;
+            // A gateway that leaves reports once more to each hub.
+            gateway.is_standby = report.skips_roster && !report.leaving;
         }
     }
 
--- a/crates/sequoiawing_hub/tests/aggregation.rs
+++ b/crates/sequoiawing_hub/tests/aggregation.rs
@@ -164,6 +164,13 @@
     };
     assert_eq!(hosts(false), [Name::from("b")]);
     assert_eq!(hosts(true).len(), 2, "a hub is out of touch with another");
+    let leaving = GatewayReport {
+        leaving: true,
+        ..standby
+    };
+    usage.record(now, &leaving);
+    let (_, changes) = usage.changes_since(now, 0, false);
+    assert!(changes[0].leaving, "all hubs learn that a gateway leaves");
 }
 
 #[test]
