--- a/crates/sequoiawing_policy/src/serving/loader/demand.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/demand.rs
@@ -76,9 +76,7 @@
         let short_term = decayed.short_term / SHORT_TERM_SECONDS * SHORT_TERM_WEIGHT;
         short_term.max(decayed.long_term / LONG_TERM_SECONDS)
     }
-}
 
-impl DemandRate {
     /// Returns whether replicas were full or answered late recently.
     fn is_overloaded(&self, now: Time) -> bool {
         let is_saturated = self.saturated.is_some_and(|at| now < at + MISS_TTL);
