Orders that are given up are taken back: their connections are reset

Cause: the order's call had timed out and its connection was closed in order, which delivers what a partition holds up. Change: these connections are reset when they are closed.

--- a/crates/sequoiawing_gateway/src/upstream_connector.rs
+++ b/crates/sequoiawing_gateway/src/upstream_connector.rs
@@ -37,6 +37,7 @@
         Self {
             direct: DirectConnector {
                 timeout: CONNECT_TIMEOUT,
+                resets: false,
             },
             translations,
             secret,
--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -60,8 +60,11 @@
     /// Creates a client that also closes connections which have been idle for
     /// `idle_timeout`, or which the server is about to close.
     pub fn with_idle_timeout(connect_timeout: Duration, idle_timeout: Duration) -> Self {
-        let timeout = connect_timeout;
-        Self::with_connector(Arc::new(DirectConnector { timeout }), idle_timeout)
+        let connector = DirectConnector {
+            timeout: connect_timeout,
+            resets: false,
+        };
+        Self::with_connector(Arc::new(connector), idle_timeout)
     }
 
     /// Creates a client whose connections are opened by `connector`.
--- a/crates/sequoiawing_http/src/connector.rs
+++ b/crates/sequoiawing_http/src/connector.rs
@@ -1,4 +1,5 @@
 use async_net::TcpStream;
+use rustix::net::sockopt::set_socket_linger;
 use sequoiawing_runtime::timeout;
 use std::{future::Future, io, net::SocketAddr, pin::Pin, time::Duration};
 
@@ -29,6 +30,9 @@
 pub struct DirectConnector {
     /// The time limit for a connect.
     pub timeout: Duration,
+    /// Whether connections are reset when they are closed. Bytes that a network partition
+    /// holds up are then lost, and are not delivered once it heals.
+    pub resets: bool,
 }
 
 impl DirectConnector {
@@ -39,7 +43,13 @@
     /// Returns the error of the connect, or that it timed out.
     pub async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let result = timeout(self.timeout, TcpStream::connect(address)).await;
-        result.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+        let stream = result.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
+        if self.resets
+            && let Err(error) = set_socket_linger(&stream, Some(Duration::ZERO))
+        {
+            log::warn!(target: "http", "A connection to {address} will not be reset when it is closed: {error}.");
+        }
+        Ok(stream)
     }
 }
 
--- a/crates/sequoiawing_http/src/socket.rs
+++ b/crates/sequoiawing_http/src/socket.rs
@@ -1,6 +1,7 @@
 use async_io::Async;
 use async_net::TcpStream;
 use hyper::rt::{Read, ReadBufCursor, Write};
+use rustix::net::sockopt::socket_linger;
 use std::{
     cell::RefCell,
     io::{self, Read as _, Write as _},
@@ -8,6 +9,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 /// The most bytes that one call reads from a socket.
@@ -29,13 +31,18 @@
     stream: Arc<Async<net::TcpStream>>,
     /// Whether the last read emptied the socket's receive buffer.
     is_drained: bool,
+    /// Whether closing the socket resets the connection, so that it is not ended in order
+    /// before.
+    is_reset_on_close: bool,
 }
 
 impl Socket {
     pub(crate) fn new(stream: TcpStream) -> Self {
+        let linger = socket_linger(&stream);
         Self {
             stream: stream.into(),
             is_drained: false,
+            is_reset_on_close: linger == Ok(Some(Duration::ZERO)),
         }
     }
 
@@ -107,6 +114,9 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.is_reset_on_close {
+            return Poll::Ready(Ok(()));
+        }
         Poll::Ready(self.stream.get_ref().shutdown(net::Shutdown::Write))
     }
 }
