Log and count each check of the retry budget

When the operators saw retries beyond the budget, nothing said which gateway granted them, for what reason, how old it was or how many gateways it knew, so that the hypotheses of the incident could not be told apart. Each check now logs the request, the pool, the reason, the decision and its figures, and the metric sequoiawing_retries counts checks by pool, reason and decision.

The functions move from state.rs to retry_budget.rs; the number of hosts that share the slack to FleetSize.

--- a/crates/sequoiawing_gateway/src/cluster_view.rs
+++ b/crates/sequoiawing_gateway/src/cluster_view.rs
@@ -1,4 +1,5 @@
 use sequoiawing_link::PlannedLoad;
+use sequoiawing_policy::serving::FleetSize;
 use sequoiawing_types::{Name, Time};
 use std::{
     collections::{HashMap, HashSet},
@@ -27,6 +28,8 @@
     /// The hub whose usage totals apply, and its epoch.
     pub(crate) usage_source: Option<(SocketAddr, u64)>,
     pub(crate) gateways: u32,
+    /// The gateways that share the slack of the retry limits.
+    pub(crate) fleet_size: FleetSize,
     pub(crate) missing: u32,
     /// The term of the leader that ordered the loads and evictions.
     pub(crate) term: u64,
--- a/crates/sequoiawing_gateway/src/filters/forward.rs
+++ b/crates/sequoiawing_gateway/src/filters/forward.rs
@@ -3,6 +3,7 @@
     attempt::{AttemptError, UpstreamResponse, buffered_response, send},
     hedge::{Race, RaceError, Winner},
     relay::relay,
+    retry_budget::RetryCause,
     slots::{Slot, SlotSearch},
     state::DemandEvent,
 };
@@ -233,7 +234,7 @@
     fn may_retry(&self, exchange: &GatewayExchange, progress: &Progress) -> bool {
         let is_allowed = progress.attempts < exchange.route.attempts.max(1);
         let has_time = !exchange.remaining(self.state.now()).is_zero();
-        is_allowed && has_time && self.state.take_retry(&exchange.pool)
+        is_allowed && has_time && self.state.take_retry(exchange, RetryCause::Failure)
     }
 }
 
--- a/crates/sequoiawing_gateway/src/hedge.rs
+++ b/crates/sequoiawing_gateway/src/hedge.rs
@@ -3,6 +3,7 @@
 use crate::{
     GatewayExchange, GatewayState,
     attempt::{AttemptError, UpstreamResponse, send},
+    retry_budget::RetryCause,
     slots::SlotSearch,
 };
 use futures_lite::FutureExt;
@@ -229,7 +230,7 @@
         return None;
     }
     let slot = SlotSearch::new(state, exchange).try_acquire(request)?;
-    if !state.take_retry(&exchange.pool) {
+    if !state.take_retry(exchange, RetryCause::Silence) {
         return None;
     }
     let upstream = slot.upstream().clone();
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod request_digest;
 mod response_body;
+mod retry_budget;
 mod settings;
 mod slots;
 mod source;
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -4,6 +4,7 @@
     GatewayExchange, GatewayState,
     attempt::{AttemptError, UpstreamResponse, send},
     hedge::{Race, Winner},
+    retry_budget::RetryCause,
     slots::{Slot, SlotSearch},
     source::Source,
 };
@@ -214,7 +215,9 @@
         }
         while self.attempts < self.exchange.route.attempts
             && self.may_resume()
-            && self.state.take_retry(&self.exchange.pool)
+            && self
+                .state
+                .take_retry(&self.exchange, RetryCause::Resumption)
         {
             let slot = SlotSearch::new(&self.state, &self.exchange)
                 .acquire(&self.request)
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -97,7 +97,7 @@
     roster: Mutex<Roster>,
     pub(crate) balancer: Mutex<Balancer>,
     rates: Mutex<HashMap<Name, SharedTokenBucket>>,
-    retries: Mutex<HashMap<Name, RetryWindow>>,
+    pub(crate) retries: Mutex<HashMap<Name, RetryWindow>>,
     demand: Mutex<DemandQueue>,
     lateness: Mutex<LatenessMeter>,
     /// What hubs are being asked to load.
@@ -244,23 +244,6 @@
         }
     }
 
-    /// Counts a new request to a pool, which adds to the retry budget.
-    pub(crate) fn record_request(&self, pool: &Name) {
-        let (now, limits) = (self.now(), self.settings.retry_limits());
-        let mut retries = self.retries.lock();
-        let window = retries.entry(pool.clone()).or_default();
-        window.record_request(now, &limits);
-    }
-
-    /// Takes a retry from the pool's budget; returns whether one was left.
-    pub(crate) fn take_retry(&self, pool: &Name) -> bool {
-        let (now, limits) = (self.now(), self.settings.retry_limits());
-        let hosts = self.cluster.lock().gateways;
-        let mut retries = self.retries.lock();
-        let window = retries.entry(pool.clone()).or_default();
-        window.try_retry(now, &limits, hosts)
-    }
-
     /// Adds an event to the demand for the request's model.
     pub(crate) fn record_demand(&self, request: &BalancerRequest, event: DemandEvent) {
         let Some(model) = &request.model else {
@@ -467,6 +450,7 @@
         self.balancer.lock().set_hosts(update.gateways, has_issuer);
         let mut cluster = self.cluster.lock();
         cluster.gateways = update.gateways;
+        cluster.fleet_size.record(now, update.gateways);
         cluster.missing = update.missing;
         if let Some(evictions) = update.evictions {
             self.apply_evictions(now, &mut cluster, evictions);
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -5,6 +5,7 @@
 
 mod balancer;
 mod engine;
+mod fleet_size;
 mod handover;
 mod hedge;
 mod hub_selector;
@@ -24,6 +25,7 @@
     Assignment, AttemptOutcome, Balancer, BalancerRequest, PickResult, UpstreamKey,
 };
 pub use engine::{EngineReply, EngineReport};
+pub use fleet_size::FleetSize;
 pub use handover::handover_wait;
 pub use hedge::{Hedge, HedgeAction, HedgeAttempt, HedgeEvent, HedgeSettings};
 pub use hub_selector::{HubRole, HubSelector, HubStatus};
@@ -36,7 +38,7 @@
     CrashedAnswer, PoisonDetector, Quarantine, QuarantineDecision, QuarantineSettings,
     QuarantinedCause, RecentSuccesses, shared_causes,
 };
-pub use retry_window::{RetryLimits, RetryWindow};
+pub use retry_window::{RetryDecision, RetryLimits, RetryWindow};
 pub use shared_bucket::{PeerView, SharedTokenBucket};
 pub use tunnel::{
     PathSettings, TunnelCandidate, TunnelHost, UpstreamPaths, Via, choose_tunnel_hosts,
--- a/crates/sequoiawing_policy/src/serving/retry_window.rs
+++ b/crates/sequoiawing_policy/src/serving/retry_window.rs
@@ -1,3 +1,4 @@
+use crate::serving::FleetSize;
 use sequoiawing_types::Time;
 use std::{collections::VecDeque, time::Duration};
 
@@ -20,6 +21,21 @@
     pub window: Duration,
 }
 
+/// Whether a retry is allowed, with the figures that decided it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RetryDecision {
+    /// Whether the retry is allowed.
+    pub is_granted: bool,
+    /// The requests within the window on this host.
+    pub requests: u64,
+    /// The retries granted within the window on this host before.
+    pub retries: u64,
+    /// The retries allowed within the window on this host.
+    pub limit: u64,
+    /// Whether the limit contains a share of the slack.
+    pub has_share: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     start: Time,
@@ -39,19 +55,30 @@
         self.bucket(now, limits).requests += 1;
     }
 
-    /// Records a retry if the limits allow it and returns whether they do. The
-    /// slack is divided evenly among `hosts`.
-    pub fn try_retry(&mut self, now: Time, limits: &RetryLimits, hosts: u32) -> bool {
+    /// Records a retry if the limits allow it and returns the decision.
+    pub fn try_retry(
+        &mut self,
+        now: Time,
+        limits: &RetryLimits,
+        fleet: &FleetSize,
+    ) -> RetryDecision {
         self.bucket(now, limits);
         let requests: u64 = self.buckets.iter().map(|b| b.requests).sum();
         let retries: u64 = self.buckets.iter().map(|b| b.retries).sum();
-        let share = limits.slack * 1_000 / u64::from(hosts.max(1));
-        let allowed = (requests * limits.ratio + share) * USED_PERCENT / 100;
-        let has_room = (retries + 1) * 1_000 <= allowed;
-        if has_room {
+        let sharers = fleet.sharers(now, limits.window);
+        let share = sharers.map_or(0, |hosts| limits.slack * 1_000 / u64::from(hosts));
+        let limit = (requests * limits.ratio + share) * USED_PERCENT / 100 / 1_000;
+        let is_granted = retries < limit;
+        if is_granted {
             self.bucket(now, limits).retries += 1;
         }
-        has_room
+        RetryDecision {
+            is_granted,
+            requests,
+            retries,
+            limit,
+            has_share: sharers.is_some(),
+        }
     }
 
     fn bucket(&mut self, now: Time, limits: &RetryLimits) -> &mut Bucket {
--- a/crates/sequoiawing_policy/tests/shared_bucket.rs
+++ b/crates/sequoiawing_policy/tests/shared_bucket.rs
@@ -2,7 +2,9 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sequoiawing_policy::serving::{PeerView, RetryLimits, RetryWindow, SharedTokenBucket};
+use sequoiawing_policy::serving::{
+    FleetSize, PeerView, RetryLimits, RetryWindow, SharedTokenBucket,
+};
 use sequoiawing_types::Time;
 use std::{collections::VecDeque, time::Duration};
 
@@ -184,6 +186,12 @@
     );
 }
 
+fn fleet(hosts: u32) -> FleetSize {
+    let mut fleet = FleetSize::default();
+    fleet.record(Time::ZERO, hosts);
+    fleet
+}
+
 #[test]
 fn retries_stay_within_ratio_and_slack() {
     let limits = RetryLimits {
@@ -191,6 +199,7 @@
         slack: 52,
         window: Duration::from_secs(10),
     };
+    let fleet = fleet(6);
     let mut retries = 0;
     for _ in 0..HOSTS {
         let mut window = RetryWindow::default();
@@ -198,7 +207,7 @@
         for _ in 0..100 {
             now = now + Duration::from_millis(50);
             window.record_request(now, &limits);
-            retries += u64::from(window.try_retry(now, &limits, 6));
+            retries += u64::from(window.try_retry(now, &limits, &fleet).is_granted);
         }
     }
     assert!(
@@ -214,8 +223,13 @@
         slack: 4,
         window: Duration::from_secs(10),
     };
+    let fleet = fleet(1);
     let mut window = RetryWindow::default();
-    while window.try_retry(Time::ZERO, &limits, 1) {}
-    assert!(!window.try_retry(Time::from_millis(9_000), &limits, 1));
-    assert!(window.try_retry(Time::from_millis(10_000), &limits, 1));
+    let mut try_retry = |millis| {
+        let decision = window.try_retry(Time::from_millis(millis), &limits, &fleet);
+        decision.is_granted
+    };
+    while try_retry(0) {}
+    assert!(!try_retry(9_000));
+    assert!(try_retry(10_000));
 }
--- a/crates/sequoiawing_telemetry/src/meters.rs
+++ b/crates/sequoiawing_telemetry/src/meters.rs
@@ -61,6 +61,7 @@
     service: Counter<u64>,
     refused: Counter<u64>,
     quarantine_refused: Counter<u64>,
+    retries: Counter<u64>,
     quarantined: Gauge<u64>,
     upstreams: Gauge<u64>,
     waiting: Gauge<u64>,
@@ -129,6 +130,12 @@
                 "{request}",
                 "Requests that were refused for a quarantined cause of crashes",
             ),
+            retries: counter(
+                &meter,
+                "sequoiawing.retries",
+                "{retry}",
+                "Retries for which the budget of a pool was checked",
+            ),
             quarantined: gauge(&meter, "sequoiawing.quarantine.parts", "{part}"),
             upstreams: gauge(&meter, "sequoiawing.upstreams", "{upstream}"),
             waiting: gauge(&meter, "sequoiawing.waiting.requests", "{request}"),
@@ -173,6 +180,16 @@
         self.quarantine_refused.add(1, &[]);
     }
 
+    /// Counts a check of a pool's retry budget.
+    pub fn record_retry(&self, pool: &Name, reason: &'static str, is_granted: bool) {
+        let attributes = [
+            KeyValue::new("sequoiawing.pool", pool.to_string()),
+            KeyValue::new("sequoiawing.reason", reason),
+            KeyValue::new("sequoiawing.granted", is_granted),
+        ];
+        self.retries.add(1, &attributes);
+    }
+
     /// Sets the number of quarantined causes of crashes.
     pub fn set_quarantined_causes(&self, count: usize) {
         self.quarantined.record(to_u64(count), &[]);
