Forget retries no earlier than a window after them

Runners saw up to twice the retries that one gateway may grant within a window. The ten buckets of the window were dropped as a whole when their start was one window old, and what was granted at the end of a bucket was forgotten up to a tenth of the window early. Before: no_window_has_two_shares_of_the_slack failed with '31 and 31 of 52 within one window'.

Requests and retries now have buckets of their own. A bucket of requests is dropped when its first one leaves the window, a bucket of retries with its last one, so that both counts err on the side of fewer retries: the retries of any window up to the last grant in it are all counted when that one is granted.

--- a/crates/sequoiawing_policy/src/serving/retry_window.rs
+++ b/crates/sequoiawing_policy/src/serving/retry_window.rs
@@ -36,23 +36,65 @@
     pub has_share: bool,
 }
 
+/// The events of a short span.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
-    start: Time,
-    requests: u64,
-    retries: u64,
+    first: Time,
+    last: Time,
+    count: u64,
+}
+
+/// Counts events in buckets.
+#[derive(Clone, Debug, Default)]
+struct BucketCounter {
+    buckets: VecDeque<Bucket>,
+}
+
+impl BucketCounter {
+    fn record(&mut self, now: Time, span: Duration) {
+        let current = self.buckets.back_mut();
+        if let Some(bucket) = current.filter(|b| now.since(b.first) < span) {
+            bucket.last = now;
+            bucket.count += 1;
+            return;
+        }
+        self.buckets.push_back(Bucket {
+            first: now,
+            last: now,
+            count: 1,
+        });
+    }
+
+    /// Drops the buckets at the front for which `is_old` returns true.
+    fn drop_while<F>(&mut self, is_old: F)
+    where
+        F: Fn(&Bucket) -> bool,
+    {
+        while self.buckets.front().is_some_and(&is_old) {
+            self.buckets.pop_front();
+        }
+    }
+
+    fn total(&self) -> u64 {
+        self.buckets.iter().map(|b| b.count).sum()
+    }
 }
 
 /// Counts the requests and retries of one pool on one host in a sliding window.
+///
+/// Both counts err on the side of fewer retries: a bucket of requests is dropped
+/// when its first one leaves the window, a bucket of retries with its last one.
 #[derive(Clone, Debug, Default)]
 pub struct RetryWindow {
-    buckets: VecDeque<Bucket>,
+    requests: BucketCounter,
+    retries: BucketCounter,
 }
 
 impl RetryWindow {
     /// Records the first attempt of a request.
     pub fn record_request(&mut self, now: Time, limits: &RetryLimits) {
-        self.bucket(now, limits).requests += 1;
+        self.expire(now, limits.window);
+        self.requests.record(now, limits.window / BUCKETS);
     }
 
     /// Records a retry if the limits allow it and returns the decision.
@@ -62,15 +104,14 @@
         limits: &RetryLimits,
         fleet: &FleetSize,
     ) -> RetryDecision {
-        self.bucket(now, limits);
-        let requests: u64 = self.buckets.iter().map(|b| b.requests).sum();
-        let retries: u64 = self.buckets.iter().map(|b| b.retries).sum();
+        self.expire(now, limits.window);
+        let (requests, retries) = (self.requests.total(), self.retries.total());
         let sharers = fleet.sharers(now, limits.window);
         let share = sharers.map_or(0, |hosts| limits.slack * 1_000 / u64::from(hosts));
         let limit = (requests * limits.ratio + share) * USED_PERCENT / 100 / 1_000;
         let is_granted = retries < limit;
         if is_granted {
-            self.bucket(now, limits).retries += 1;
+            self.retries.record(now, limits.window / BUCKETS);
         }
         RetryDecision {
             is_granted,
@@ -81,20 +122,8 @@
         }
     }
 
-    fn bucket(&mut self, now: Time, limits: &RetryLimits) -> &mut Bucket {
-        let is_old = |b: &Bucket| now.since(b.start) >= limits.window;
-        while self.buckets.front().is_some_and(is_old) {
-            self.buckets.pop_front();
-        }
-        let span = limits.window / BUCKETS;
-        let is_current = |b: &Bucket| now.since(b.start) < span;
-        if !self.buckets.back().is_some_and(is_current) {
-            self.buckets.push_back(Bucket {
-                start: now,
-                requests: 0,
-                retries: 0,
-            });
-        }
-        self.buckets.back_mut().expect("one was just added")
+    fn expire(&mut self, now: Time, window: Duration) {
+        self.requests.drop_while(|b| now.since(b.first) >= window);
+        self.retries.drop_while(|b| now.since(b.last) >= window);
     }
 }
