Grow a started gateway's share of the retry slack over its first window

Runners saw more retries than the budget allows while gateways were killed and started again. The window lives in the process, and a started gateway had its whole share of the slack at once, after each start anew.

A share now grows linearly with the time in which hubs have replied, to half of it, and is whole after a window and the time in which hubs learn of hosts. All processes that started on a machine within one window have half a share together, the one before them at most a whole one: 1.5 shares of the 60 percent that are used. What a gateway's own requests earn it may use at once.

--- a/crates/sequoiawing_gateway/src/retry_budget.rs
+++ b/crates/sequoiawing_gateway/src/retry_budget.rs
@@ -51,7 +51,7 @@
             target: "gateway", request = exchange.meta.id.as_str(), pool = pool.as_str(),
             reason = cause.as_str(), granted = decision.is_granted,
             requests = decision.requests, retries = decision.retries, limit = decision.limit,
-            hosts = fleet.hosts(), has_share = decision.has_share,
+            hosts = fleet.hosts(), share = decision.share,
             age_ms = u64::try_from(age).unwrap_or(u64::MAX);
             "Retry budget of the pool checked."
         );
--- a/crates/sequoiawing_policy/src/serving/fleet_size.rs
+++ b/crates/sequoiawing_policy/src/serving/fleet_size.rs
@@ -1,17 +1,33 @@
 use sequoiawing_types::Time;
 use std::time::Duration;
 
+/// The time in which hubs learn of a host that has started, and other hosts of it
+/// by the hubs' replies; several reporting intervals.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Divides the part of its share that a host in its first window has earned by its
+/// time in touch with hubs.
+const YOUNG_DIVISOR: u128 = 2;
+
 /// The number of hosts that share the slack of the retry limits, as known on one
 /// host.
+///
+/// A host that has just started may follow another process on the same machine that
+/// used its share, or belong to a fleet that the hubs do not know yet. Its share
+/// grows with the time in which hubs have replied, and is whole after a window.
 #[derive(Clone, Debug, Default)]
 pub struct FleetSize {
     hosts: u32,
+    /// When the first and the last reply of a hub arrived.
+    replies: Option<(Time, Time)>,
 }
 
 impl FleetSize {
     /// Records the number of hosts that a reply of a hub names.
-    pub fn record(&mut self, _now: Time, hosts: u32) {
+    pub fn record(&mut self, now: Time, hosts: u32) {
         self.hosts = hosts;
+        let first = self.replies.map_or(now, |(first, _)| first);
+        self.replies = Some((first, now));
     }
 
     /// Returns the number of hosts; 0 if none is known.
@@ -19,9 +35,19 @@
         self.hosts
     }
 
-    /// Returns the number of hosts among which the slack is divided evenly; `None`
-    /// while this host has no share.
-    pub fn sharers(&self, _now: Time, _window: Duration) -> Option<u32> {
-        Some(self.hosts.max(1))
+    /// Returns this host's share of `slack` retries per window, in thousandths of a
+    /// retry.
+    pub fn share(&self, slack: u64, window: Duration) -> u64 {
+        let Some((first, last)) = self.replies else {
+            return 0;
+        };
+        let whole = slack * 1_000 / u64::from(self.hosts.max(1));
+        let in_touch = last.since(first);
+        if in_touch >= window + SETTLE_TIME {
+            return whole;
+        }
+        let divisor = (window.as_micros() * YOUNG_DIVISOR).max(1);
+        let young = u128::from(whole) * in_touch.as_micros() / divisor;
+        u64::try_from(young).unwrap_or(whole)
     }
 }
--- a/crates/sequoiawing_policy/src/serving/retry_window.rs
+++ b/crates/sequoiawing_policy/src/serving/retry_window.rs
@@ -32,8 +32,8 @@
     pub retries: u64,
     /// The retries allowed within the window on this host.
     pub limit: u64,
-    /// Whether the limit contains a share of the slack.
-    pub has_share: bool,
+    /// This host's share of the slack, in thousandths of a retry.
+    pub share: u64,
 }
 
 /// The events of a short span.
@@ -106,8 +106,7 @@
     ) -> RetryDecision {
         self.expire(now, limits.window);
         let (requests, retries) = (self.requests.total(), self.retries.total());
-        let sharers = fleet.sharers(now, limits.window);
-        let share = sharers.map_or(0, |hosts| limits.slack * 1_000 / u64::from(hosts));
+        let share = fleet.share(limits.slack, limits.window);
         let limit = (requests * limits.ratio + share) * USED_PERCENT / 100 / 1_000;
         let is_granted = retries < limit;
         if is_granted {
@@ -118,7 +117,7 @@
             requests,
             retries,
             limit,
-            has_share: sharers.is_some(),
+            share,
         }
     }
 
--- a/crates/sequoiawing_policy/tests/shared_bucket.rs
+++ b/crates/sequoiawing_policy/tests/shared_bucket.rs
@@ -186,9 +186,11 @@
     );
 }
 
+/// Returns the size of a fleet whose hosts have known each other for 20 seconds.
 fn fleet(hosts: u32) -> FleetSize {
     let mut fleet = FleetSize::default();
     fleet.record(Time::ZERO, hosts);
+    fleet.record(Time::from_millis(20_000), hosts);
     fleet
 }
 
