Keep the retry slack within its limit in both halves of a partitioned fleet

Runners that both halves reach saw more retries than the budget allows. Hubs no longer count a gateway 20 s after its last report, so that in a partition each gateway divided the slack among those of its half, and used 60 percent of that: 1.2 times the slack together.

A gateway divides the slack among the largest number of gateways that a hub named within ten minutes. Processes that start within a half know no other number, so that a host uses a half of its share: two halves are then within the slack by themselves.

--- a/crates/sequoiawing_policy/src/serving/fleet_size.rs
+++ b/crates/sequoiawing_policy/src/serving/fleet_size.rs
@@ -1,10 +1,14 @@
 use sequoiawing_types::Time;
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 /// The time in which hubs learn of a host that has started, and other hosts of it
 /// by the hubs' replies; several reporting intervals.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// How long the largest number of hosts counts. Hubs no longer count the hosts of
+/// another half after some time, though these use their shares.
+const RETENTION: Duration = Duration::from_mins(10);
+
 /// Divides the part of its share that a host in its first window has earned by its
 /// time in touch with hubs.
 const YOUNG_DIVISOR: u128 = 2;
@@ -17,7 +21,9 @@
 /// grows with the time in which hubs have replied, and is whole after a window.
 #[derive(Clone, Debug, Default)]
 pub struct FleetSize {
-    hosts: u32,
+    /// The numbers of hosts that were named, with the last time of each, in order of
+    /// time; those before a larger one are left out.
+    named: VecDeque<(Time, u32)>,
     /// When the first and the last reply of a hub arrived.
     replies: Option<(Time, Time)>,
 }
@@ -25,14 +31,21 @@
 impl FleetSize {
     /// Records the number of hosts that a reply of a hub names.
     pub fn record(&mut self, now: Time, hosts: u32) {
-        self.hosts = hosts;
+        while self.named.back().is_some_and(|(_, named)| *named <= hosts) {
+            self.named.pop_back();
+        }
+        self.named.push_back((now, hosts));
+        let is_old = |(at, _): &(Time, u32)| now.since(*at) > RETENTION;
+        while self.named.len() > 1 && self.named.front().is_some_and(is_old) {
+            self.named.pop_front();
+        }
         let first = self.replies.map_or(now, |(first, _)| first);
         self.replies = Some((first, now));
     }
 
-    /// Returns the number of hosts; 0 if none is known.
+    /// Returns the largest number of hosts that was named recently; 0 if none was.
     pub fn hosts(&self) -> u32 {
-        self.hosts
+        self.named.front().map_or(0, |(_, hosts)| *hosts)
     }
 
     /// Returns this host's share of `slack` retries per window, in thousandths of a
@@ -41,7 +54,7 @@
         let Some((first, last)) = self.replies else {
             return 0;
         };
-        let whole = slack * 1_000 / u64::from(self.hosts.max(1));
+        let whole = slack * 1_000 / u64::from(self.hosts().max(1));
         let in_touch = last.since(first);
         if in_touch >= window + SETTLE_TIME {
             return whole;
--- a/crates/sequoiawing_policy/src/serving/retry_window.rs
+++ b/crates/sequoiawing_policy/src/serving/retry_window.rs
@@ -5,10 +5,14 @@
 /// The number of buckets into which a window is divided.
 const BUCKETS: u32 = 10;
 
-/// The share of the limits that a host uses, in percent. The remainder allows
-/// for windows of hosts that are not aligned with those in which the limits are
-/// checked.
-const USED_PERCENT: u64 = 60;
+/// The part of the retries earned by requests that a host uses, in percent. The
+/// remainder allows for windows of hosts that are not aligned with those in which
+/// the limits are checked.
+const EARNED_PERCENT: u64 = 60;
+
+/// The part of its share of the slack that a host uses, in percent. Both halves of a
+/// partitioned fleet keep the limits together if each knows only itself.
+const SLACK_PERCENT: u64 = 50;
 
 /// The retry limits of a pool over all hosts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -107,7 +111,8 @@
         self.expire(now, limits.window);
         let (requests, retries) = (self.requests.total(), self.retries.total());
         let share = fleet.share(limits.slack, limits.window);
-        let limit = (requests * limits.ratio + share) * USED_PERCENT / 100 / 1_000;
+        let earned = requests * limits.ratio * EARNED_PERCENT;
+        let limit = (earned + share * SLACK_PERCENT) / 100 / 1_000;
         let is_granted = retries < limit;
         if is_granted {
             self.retries.record(now, limits.window / BUCKETS);
--- a/crates/sequoiawing_policy/tests/retry_fleet.rs
+++ b/crates/sequoiawing_policy/tests/retry_fleet.rs
@@ -220,7 +220,7 @@
         let mut arrivals = run(seed, day);
         let (excess, from) = arrivals.excess();
         let (requests, retries) = (arrivals.requests.len(), arrivals.retries.len());
-        // Half of the ratio is used, and half of that at the least.
+        // At least a quarter of the ratio is used.
         for (requests, retries) in &arrivals.processes {
             assert!(
                 *retries >= requests * LIMITS.ratio / 4_000,
