Builds whose messages differ exchange JSON

Two builds run side by side while hosts are upgraded one after the other. Both named themselves in the greeting by the package version, 0.1.0 in every build of the history, and so chose postcard, which has no field names. Where their messages differ, each reads the other's fields at the wrong place, or fails to read the message at all.

The identifier of a build is now computed by a build script from the sources of the crates whose types travel, and the lock file: no clock and no version control, the same for the same sources. Where these sources are not beside the crate, it is 0, and JSON is chosen.

--- a/crates/sequoiawing_link/src/codec.rs
+++ b/crates/sequoiawing_link/src/codec.rs
@@ -8,14 +8,14 @@
 /// The serialization format of messages on one connection.
 ///
 /// Binary messages are a third as long as JSON but contain no field names, so
-/// that they can only be exchanged between processes of the same release.
-/// Processes of different releases use JSON, where unknown fields are ignored
+/// that they can only be exchanged between processes of the same build.
+/// Processes of different builds use JSON, where unknown fields are ignored
 /// and missing fields have defaults.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Format {
-    /// Postcard, between processes of the same release.
+    /// Postcard, between processes of the same build.
     Binary,
-    /// JSON, between processes of different releases.
+    /// JSON, between processes of different builds.
     Json,
 }
 
--- a/crates/sequoiawing_link/src/handshake.rs
+++ b/crates/sequoiawing_link/src/handshake.rs
@@ -9,39 +9,39 @@
 use std::{fmt, io, sync::Arc};
 
 const NONCE_BYTES: usize = 32;
-const RELEASE_BYTES: usize = 8;
-const HELLO_BYTES: usize = NONCE_BYTES + RELEASE_BYTES;
+const BUILD_BYTES: usize = 8;
+const HELLO_BYTES: usize = NONCE_BYTES + BUILD_BYTES;
 const PROOF_BYTES: usize = 32;
 
-/// Identifies the release in the hello message, so that processes of different
-/// releases do not choose a format that only one of them can read.
-const RELEASE: [u8; RELEASE_BYTES] = release(env!("CARGO_PKG_VERSION"));
-
-/// Returns the FNV-1a hash of a version as its release identifier.
-const fn release(version: &str) -> [u8; RELEASE_BYTES] {
-    let bytes = version.as_bytes();
-    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-    let mut i = 0;
-    while i < bytes.len() {
-        hash ^= bytes[i] as u64;
-        hash = hash.wrapping_mul(0x0100_0000_01b3);
-        i += 1;
+/// The identifier of a build without one. Such a build uses JSON with every other.
+const UNKNOWN_BUILD: [u8; BUILD_BYTES] = [0; BUILD_BYTES];
+
+/// Identifies the build in the hello message, so that processes of builds whose
+/// messages differ do not choose a format that only one of them can read. The build
+/// script computes it from the sources of all types that travel.
+const BUILD: [u8; BUILD_BYTES] = parse_build(env!("SEQUOIAWING_BUILD_ID"));
+
+/// Parses the hexadecimal identifier of a build.
+const fn parse_build(text: &str) -> [u8; BUILD_BYTES] {
+    match u64::from_str_radix(text, 16) {
+        Ok(id) => id.to_be_bytes(),
+        Err(_) => panic!("the identifier of the build is not a hexadecimal number"),
     }
-    hash.to_be_bytes()
 }
 
-/// Generates a hello message: a random nonce and the release identifier.
-fn hello(release: [u8; RELEASE_BYTES]) -> [u8; HELLO_BYTES] {
+/// Generates a hello message: a random nonce and the build identifier.
+fn hello(build: [u8; BUILD_BYTES]) -> [u8; HELLO_BYTES] {
     let mut hello = [0; HELLO_BYTES];
     let nonce: [u8; NONCE_BYTES] = rand::random();
     hello[..NONCE_BYTES].copy_from_slice(&nonce);
-    hello[NONCE_BYTES..].copy_from_slice(&release);
+    hello[NONCE_BYTES..].copy_from_slice(&build);
     hello
 }
 
 /// Returns the format that both peers support.
 fn negotiate_format(ours: &[u8; HELLO_BYTES], theirs: &[u8; HELLO_BYTES]) -> Format {
-    if ours[NONCE_BYTES..] == theirs[NONCE_BYTES..] {
+    let build = &ours[NONCE_BYTES..];
+    if build == &theirs[NONCE_BYTES..] && build != UNKNOWN_BUILD {
         Format::Binary
     } else {
         Format::Json
@@ -82,7 +82,7 @@
 ///
 /// The client proves the secret first, then verifies the server's proof.
 pub(crate) async fn initiate(stream: &mut TcpStream, secret: &Secret) -> Result<Format, LinkError> {
-    let ours = hello(RELEASE);
+    let ours = hello(BUILD);
     write(stream, &ours).await?;
     let theirs = read::<HELLO_BYTES>(stream).await?;
     write(stream, &prove(secret, Role::Client, &ours, &theirs)).await?;
@@ -96,7 +96,7 @@
 ///
 /// The server verifies the client's proof before it sends its own.
 pub(crate) async fn accept(stream: &mut TcpStream, secret: &Secret) -> Result<Format, LinkError> {
-    let ours = hello(RELEASE);
+    let ours = hello(BUILD);
     let theirs = read::<HELLO_BYTES>(stream).await?;
     write(stream, &ours).await?;
     let proof = read::<PROOF_BYTES>(stream).await?;
--- a/crates/sequoiawing_link/src/lib.rs
+++ b/crates/sequoiawing_link/src/lib.rs
@@ -3,7 +3,7 @@
 //! Calls use `tarpc` over TCP. Before the first call, both peers prove that they
 //! know the deployment's secret; see
 //! [docs/SECURITY.md](../../../docs/SECURITY.md). Processes of the same
-//! release use a binary [`Format`], processes of different releases JSON.
+//! build use a binary [`Format`], processes of different builds JSON.
 
 mod budget;
 mod codec;
