Log how streams end and the IDs of their parts

Callers on real machines saw streams out of order. The logs could not tell an upstream that closed its connection from one that ended its answer, nor one that sent other events than those asked for.

The lines at the end of a stream, and at the end of what one upstream sent of it, now name how the answer tells its end (length, chunks or connection) and the IDs of its first and last event.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::{Request, Response, Uri, http::response::Parts};
 use sequoiawing_catalog::RetryPolicy;
-use sequoiawing_http::{Body, ClientBody, ClientError, empty, from_bytes};
+use sequoiawing_http::{Body, BodyFraming, ClientBody, ClientError, empty, from_bytes};
 use sequoiawing_policy::serving::AttemptOutcome;
 use sequoiawing_runtime::timeout;
 use std::sync::Arc;
@@ -57,7 +57,7 @@
     let (outcome, result) = match timeout(remaining, Box::pin(receiving)).await {
         None => (AttemptOutcome::Failed, Err(AttemptError::TimedOut)),
         Some(Ok(Received::Stream(parts, body))) => {
-            let stream = EventStream::new(body);
+            let stream = EventStream::new(body, BodyFraming::of(parts.status, &parts.headers));
             let source = Box::new(Source { stream, slot });
             return Ok(UpstreamResponse::Stream(parts, source));
         }
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -177,15 +177,18 @@
 
     /// Closes the stream of the current upstream.
     fn drop_source(&mut self, outcome: AttemptOutcome, cause: &str) {
-        let Some(slot) = self.source.take().map(|source| source.slot) else {
+        let Some(source) = self.source.take() else {
             return;
         };
+        let framing = source.stream.framing();
+        let slot = source.slot;
         log::info!(
             target: "gateway", request = self.exchange.meta.id.as_str(),
             upstream = slot.upstream().as_str(), start = slot.assignment.epoch,
             digest = self.exchange.digest().to_string(),
             parts = self.exchange.meta.shared_ids(), events = self.events.count(),
-            ran_ms = slot.millis_since_assigned(), cause = cause;
+            first_id = self.events.first_id(), last_id = self.events.last_id(),
+            framing = framing.to_string(), ran_ms = slot.millis_since_assigned(), cause = cause;
             "Stream from the upstream was interrupted."
         );
         if outcome == AttemptOutcome::Aborted {
@@ -278,29 +281,33 @@
     }
 
     fn abort(&mut self, outcome: AttemptOutcome, cause: &str) -> BodyError {
+        self.is_finished = true;
+        self.log("broken off", cause);
         if let Some(source) = self.source.take() {
             source.slot.release(outcome);
         }
-        self.is_finished = true;
-        self.log("broken off", cause);
         cause.to_owned().into()
     }
 
     fn finish(&mut self, cause: &str) {
+        self.is_finished = true;
+        self.log("whole", cause);
         if let Some(source) = self.source.take() {
             source.slot.release(AttemptOutcome::Succeeded);
             self.state.record_complete_answer(&self.exchange);
         }
-        self.is_finished = true;
-        self.log("whole", cause);
     }
 
     fn log(&self, outcome: &str, cause: &str) {
         let latency = self.exchange.millis_since_arrival(self.state.now());
+        let source = self.source.as_ref();
+        let upstream = source.map(|source| source.slot.upstream().as_str());
+        let framing = source.map(|source| source.stream.framing().to_string());
         log::info!(
             target: "gateway", request = self.exchange.meta.id.as_str(),
-            outcome = outcome, cause = cause, events = self.events.count(),
-            took_ms = latency;
+            upstream = upstream, outcome = outcome, cause = cause,
+            events = self.events.count(), first_id = self.events.first_id(),
+            last_id = self.events.last_id(), framing = framing, took_ms = latency;
             "Stream ended."
         );
     }
--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -1,7 +1,7 @@
 use crate::slots::Slot;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use sequoiawing_http::{BodyError, ClientBody, SseSplitter};
+use sequoiawing_http::{BodyError, BodyFraming, ClientBody, SseSplitter};
 use std::collections::VecDeque;
 
 /// The cause of a stream that ends inside an event.
@@ -19,18 +19,25 @@
 /// The body of an event stream.
 pub(crate) struct EventStream {
     body: ClientBody,
+    framing: BodyFraming,
     /// The parts that were read ahead.
     ahead: VecDeque<Bytes>,
 }
 
 impl EventStream {
-    pub(crate) fn new(body: ClientBody) -> Self {
+    pub(crate) fn new(body: ClientBody, framing: BodyFraming) -> Self {
         Self {
             body,
+            framing,
             ahead: VecDeque::new(),
         }
     }
 
+    /// Returns how the end of the stream is told.
+    pub(crate) fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     /// Reads until at least one complete event has arrived, and returns it;
     /// `None` at the end of the stream.
     ///
--- a/crates/sequoiawing_http/src/sse.rs
+++ b/crates/sequoiawing_http/src/sse.rs
@@ -28,6 +28,8 @@
     partial: BytesMut,
     count: u64,
     is_done: bool,
+    /// The `id` of the first event since the last call of `discard_partial`.
+    first_id: Option<u64>,
     last_id: Option<u64>,
 }
 
@@ -57,6 +59,7 @@
     /// the last complete event.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.first_id = None;
     }
 
     /// Returns the number of complete events.
@@ -69,6 +72,11 @@
         self.last_id
     }
 
+    /// Returns the first numeric `id` since the stream was last resumed.
+    pub fn first_id(&self) -> Option<u64> {
+        self.first_id
+    }
+
     /// Returns whether bytes of an incomplete event are held back.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
@@ -91,7 +99,9 @@
         while let Some(end) = first_event_end(rest) {
             self.count += 1;
             self.is_done |= rest[..end].trim_ascii() == DONE_EVENT;
-            self.last_id = parse_event_id(&rest[..end]).or(self.last_id);
+            let id = parse_event_id(&rest[..end]);
+            self.first_id = self.first_id.or(id);
+            self.last_id = id.or(self.last_id);
             rest = &rest[end..];
         }
     }
