--- a/tests/requests/fleet.rs
+++ b/tests/requests/fleet.rs
@@ -22,7 +22,7 @@
     time::Duration,
 };
 
-const SECRET: &str = "secret-of-the-tests";
+pub(crate) const SECRET: &str = "secret-of-the-tests";
 
 /// How long a test waits for a condition before it fails.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/tests/requests/joins.rs
@@ -0,0 +1,262 @@
+//! Tests of streams that break off at one upstream and may go on at another, with
+//! chosen bytes on real connections.
+
+use crate::{
+    cases,
+    fleet::{Call, Fleet, Setup, short_stall},
+    scripted::{Kind, Received, Scripted, Step},
+};
+use http_body_util::BodyExt;
+use std::time::Duration;
+
+/// The number of events that the first upstream sends.
+const SENT: u64 = 3;
+
+/// The number of events of a whole stream, without the last one.
+const EVENTS: u64 = 6;
+
+const STREAM: &str = "content-type: text/event-stream\r\n";
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+
+/// How an upstream leaves a stream.
+#[derive(Clone, Copy)]
+enum Ending {
+    /// It is killed: the connection ends in order, between two chunks.
+    Closed,
+    /// It ends the body in order.
+    LastChunk,
+    /// It ends the body with a trailer.
+    Trailer,
+    /// It is killed within an event.
+    InEvent,
+}
+
+fn event(number: u64) -> String {
+    format!("data: {{\"text\":\"w{number}\"}}\n\n")
+}
+
+fn chunk(data: &str) -> String {
+    format!("{:x}\r\n{data}\r\n", data.len())
+}
+
+fn head(received: &Received, status: &str, headers: &str) -> String {
+    let attempt = received.attempt();
+    format!("HTTP/1.1 {status}\r\nsequoiawing-attempt: {attempt}\r\n{headers}\r\n")
+}
+
+/// Returns the answer of an upstream that leaves after [`SENT`] events.
+fn broken(received: &Received, ending: Ending) -> Vec<Step> {
+    let events: String = (0..SENT).map(|n| chunk(&event(n))).collect();
+    let last = match ending {
+        Ending::Closed => String::new(),
+        Ending::LastChunk => "0\r\n\r\n".to_owned(),
+        Ending::Trailer => "0\r\nx-served-by: one\r\n\r\n".to_owned(),
+        Ending::InEvent => chunk("data: {\"text\":\"half"),
+    };
+    let headers = format!("{STREAM}{CHUNKED}");
+    let head = head(received, "200 OK", &headers);
+    vec![
+        Step::Write(format!("{head}{events}{last}")),
+        Step::Pause(Duration::from_millis(20)),
+        Step::Close,
+    ]
+}
+
+/// Returns the events from one on, to the end of the stream.
+fn rest(first: u64) -> String {
+    let events = (first..EVENTS).map(event);
+    events.chain(["data: [DONE]\n\n".to_owned()]).collect()
+}
+
+/// Returns the answer that goes on with the stream.
+fn resumed(received: &Received) -> Vec<Step> {
+    let offset = received.header("sequoiawing-resume-offset");
+    let headers = format!("{STREAM}{CHUNKED}sequoiawing-resume-offset: {offset}\r\n");
+    let head = head(received, "200 OK", &headers);
+    let rest = rest(offset.parse().unwrap_or(0));
+    vec![Step::Write(format!("{head}{}0\r\n\r\n", chunk(&rest)))]
+}
+
+/// Returns an answer to a resumption with the wanted attempt and offset, and then
+/// closes the connection.
+fn answer(received: &Received, status: &str, headers: &str, body: &str) -> Vec<Step> {
+    let offset = received.header("sequoiawing-resume-offset");
+    let headers = format!("{headers}sequoiawing-resume-offset: {offset}\r\n");
+    vec![
+        Step::Write(format!("{}{body}", head(received, status, &headers))),
+        Step::Pause(Duration::from_millis(20)),
+        Step::Close,
+    ]
+}
+
+async fn start<F>(script: F) -> (Fleet, Scripted)
+where
+    F: Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+{
+    let fleet = Fleet::start(Setup {
+        settings: short_stall(),
+        ..Setup::default()
+    })
+    .await;
+    let scripted = Scripted::start(&fleet, Kind::Engine, 2, script).await;
+    (fleet, scripted)
+}
+
+/// Asserts that a stream is whole although its first upstream left it.
+async fn assert_resumed(ending: Ending) {
+    let (fleet, _scripted) = start(move |received| match received.number {
+        0 => broken(received, ending),
+        _ => resumed(received),
+    })
+    .await;
+    let response = fleet.completion("/resumed", EVENTS).send().await;
+    assert_eq!(response.text(), rest(0), "{response:?}");
+}
+
+/// Asserts that a stream that may not be resumed ends with an error, behind whole
+/// events of the upstream that left it.
+async fn assert_broken_off(ending: Ending) {
+    let (fleet, _scripted) = start(move |received| broken(received, ending)).await;
+    let call = fleet.completion("/v1/completions", EVENTS);
+    let (text, is_complete) = read_to_end(call.with_header("te", "trailers")).await;
+    let expected: String = (0..SENT).map(event).collect();
+    assert_eq!((text.as_str(), is_complete), (expected.as_str(), false));
+}
+
+/// Returns what arrives of a response, and whether it looks complete.
+async fn read_to_end(call: Call) -> (String, bool) {
+    let mut body = call.begin().await.into_body();
+    let mut text = String::new();
+    loop {
+        match body.frame().await {
+            None => return (text, true),
+            Some(Err(_)) => return (text, false),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    text.push_str(&String::from_utf8_lossy(&data));
+                }
+            }
+        }
+    }
+}
+
+/// Asserts that a second upstream's answer is not joined to a stream, which goes on
+/// at a third attempt.
+async fn assert_not_joined(answer: fn(&Received) -> Vec<Step>) {
+    let (fleet, scripted) = start(move |received| match received.number {
+        0 => broken(received, Ending::Closed),
+        1 => answer(received),
+        _ => resumed(received),
+    })
+    .await;
+    let response = fleet.completion("/resumed", EVENTS).send().await;
+    let received = scripted.received();
+    assert_eq!(response.text(), rest(0), "{received:#?}");
+    assert_eq!(received.len(), 3, "{received:#?}");
+}
+
+/// Defines a case for each ending.
+macro_rules! endings {
+    ($check:ident: $($name:ident: $ending:ident;)*) => {
+        cases! { $($name { $check(Ending::$ending).await; })* }
+    };
+}
+
+// Guard against a stream that ends as complete before its last event, or that holds
+// a part of an event.
+endings! { assert_resumed:
+    a_stream_of_a_killed_upstream_is_resumed: Closed;
+    a_stream_with_an_early_last_chunk_is_resumed: LastChunk;
+    a_stream_with_an_early_trailer_is_resumed: Trailer;
+    a_stream_that_is_cut_in_an_event_is_resumed: InEvent;
+}
+
+endings! { assert_broken_off:
+    a_stream_of_a_killed_upstream_breaks_off: Closed;
+    a_stream_with_an_early_last_chunk_breaks_off: LastChunk;
+    a_stream_with_an_early_trailer_breaks_off: Trailer;
+    a_stream_that_is_cut_in_an_event_breaks_off_before_it: InEvent;
+}
+
+/// Defines a case for each answer to a resumption.
+macro_rules! answers {
+    ($($name:ident: $answer:expr;)*) => {
+        cases! { $($name { assert_not_joined($answer).await; })* }
+    };
+}
+
+const ERROR: &str = "{\"error\":{\"message\":\"no room\"}}";
+
+fn sized(headers: &str, body: &str) -> String {
+    format!("{headers}content-length: {}\r\n", body.len())
+}
+
+// Guard against an error's text, or another answer that is no rest of the stream, in
+// the middle of a caller's stream.
+answers! {
+    an_error_is_not_joined: |r| answer(r, "500 Internal Server Error", &sized("", ERROR), ERROR);
+    an_error_as_a_stream_is_not_joined: |r| answer(r, "500 Internal Server Error", &sized(STREAM, ERROR), ERROR);
+    a_refusal_is_not_joined: |r| answer(r, "503 Service Unavailable", &sized("sequoiawing-ran: no\r\n", ERROR), ERROR);
+    a_redirect_is_not_joined: |r| answer(r, "302 Found", "location: /\r\ncontent-length: 0\r\n", "");
+    a_part_is_not_joined: |r| answer(r, "206 Partial Content", &sized(STREAM, &rest(SENT)), &rest(SENT));
+    a_switch_of_protocols_is_not_joined: |r| answer(r, "101 Switching Protocols", "upgrade: x\r\nconnection: upgrade\r\n", &rest(SENT));
+    a_page_is_not_joined: |r| answer(r, "200 OK", &sized("content-type: text/html\r\n", "<p>no\n\n</p>"), "<p>no\n\n</p>");
+    an_answer_without_a_type_is_not_joined: |r| answer(r, "200 OK", &sized("", "no\n\n"), "no\n\n");
+    an_encoded_answer_is_not_joined: |r| {
+        let body = "\u{1f}encoded\n\n";
+        answer(r, "200 OK", &sized(&format!("{STREAM}content-encoding: gzip\r\n"), body), body)
+    };
+    an_answer_without_a_length_is_not_joined: |r| answer(r, "200 OK", STREAM, &rest(SENT));
+    an_answer_of_another_encoding_than_chunks_is_not_joined: |r| {
+        answer(r, "200 OK", &format!("{STREAM}transfer-encoding: identity\r\n"), &rest(SENT))
+    };
+    an_answer_from_the_start_is_not_joined: |r| {
+        let body = rest(0);
+        let headers = sized(STREAM, &body);
+        vec![Step::Write(format!("{}{body}", head(r, "200 OK", &headers)))]
+    };
+    an_answer_from_another_event_is_not_joined: |r| {
+        let body = rest(SENT + 1);
+        let headers = format!("{}sequoiawing-resume-offset: {}\r\n", sized(STREAM, &body), SENT + 1);
+        vec![Step::Write(format!("{}{body}", head(r, "200 OK", &headers)))]
+    };
+    a_part_of_an_event_is_not_joined: |r| {
+        let part = chunk("data: {\"text\":\"half");
+        answer(r, "200 OK", &format!("{STREAM}{CHUNKED}"), &part)
+    };
+    a_trailer_alone_is_not_joined: |r| answer(r, "200 OK", &format!("{STREAM}{CHUNKED}"), "0\r\nx: y\r\n\r\n");
+    bytes_that_are_no_answer_are_not_joined: |_| vec![Step::Write("\u{16}no HTTP\r\n\r\n".to_owned()), Step::Close];
+}
+
+cases! {
+    // Guards against a resumption that is given up for an interim answer.
+    a_stream_is_resumed_behind_an_interim_answer {
+        let (fleet, scripted) = start(|received| {
+            if received.number == 0 {
+                return broken(received, Ending::Closed);
+            }
+            let interim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n";
+            let interim = Step::Write(interim.to_owned());
+            [interim].into_iter().chain(resumed(received)).collect()
+        })
+        .await;
+        let response = fleet.completion("/resumed", EVENTS).send().await;
+        assert_eq!(response.text(), rest(0));
+        assert_eq!(scripted.received().len(), 2);
+    }
+
+    // Guards against bytes behind the last event, which are no part of the stream.
+    nothing_behind_the_last_event_is_relayed {
+        for path in ["/v1/completions", "/resumed"] {
+            let (fleet, _scripted) = start(|received| {
+                let body = format!("{}{}", rest(0), event(9));
+                let headers = format!("{STREAM}{CHUNKED}");
+                let head = head(received, "200 OK", &headers);
+                vec![Step::Write(format!("{head}{}{}0\r\n\r\n", chunk(&body), chunk(&event(10))))]
+            })
+            .await;
+            let response = fleet.completion(path, EVENTS).send().await;
+            assert_eq!(response.text(), rest(0), "{path}");
+        }
+    }
+}
--- a/tests/requests/main.rs
+++ b/tests/requests/main.rs
@@ -4,8 +4,11 @@
 mod callers;
 mod fleet;
 mod idempotency;
+mod joins;
 mod keys;
 mod load;
+mod refusals;
+mod scripted;
 mod streams;
 mod upstreams;
 
