Drop the trailers of relayed streams

What callers saw: a stream whose upstream ended it early, with a trailer, ended as if it were complete; on resumable routes it was not resumed. Cause: RelayedBody passed the trailers on, and hyper ends a body behind its trailers, whatever the body returns next. Evidence, on the code before: joins::a_stream_with_an_early_trailer_breaks_off got three of seven events and a clean end, 'left: ("data: w0 .. w2", true), right: (.., false)'; a_stream_with_an_early_trailer_is_resumed got w0 to w2 of w0 to w5. Why the fix works: whether a stream has ended is decided by its last event alone, once the upstream's body has ended; trailers of streams have no use for callers, who need a 'te: trailers' to get any. Both cases pass.

--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -272,6 +272,8 @@
                         Ok(None) => continue,
                         Err(error) => self.handle_end(Some(error.into())),
                     },
+                    // They end the caller's body, whatever follows.
+                    Err(_) if self.events.is_some() => continue,
                     Err(trailers) => return Poll::Ready(Some(Ok(trailers))),
                 },
                 Some(Err(error)) => self.handle_end(Some(error)),
