Soak of real processes: callers, runners, faults from a seed, judge

The operators' runs of real processes broke BUDGET and ORDER, and nothing of ours runs real processes with streams, kept connections and a judge of either rule. tools/soak starts controllers, gateways and runners as processes, injects signals and misbehaviour of runners from a seed, and judges BUDGET, ORDER, MIXED, REFUSED and TWICE from what callers and runners saw.

--- /dev/null
+++ b/tools/soak/src/judge/streams.rs
@@ -0,0 +1,112 @@
+//! ORDER: each stream that a caller saw against the events that runners made.
+
+use super::{Case, Promise, Verdict};
+use crate::record::{End, Sent};
+use std::collections::BTreeMap;
+
+/// The parts of an event.
+struct Event<'a> {
+    id: u64,
+    runner: &'a str,
+    version: &'a str,
+    last: u64,
+}
+
+/// Reads `id: N`, `data: RUNNER VERSION N/LAST`.
+fn parse(text: &str) -> Option<Event<'_>> {
+    let (id, data) = text.strip_prefix("id: ")?.split_once("\ndata: ")?;
+    let mut words = data.split(' ');
+    let (runner, version, place) = (words.next()?, words.next()?, words.next()?);
+    let (number, last) = place.split_once('/')?;
+    let event = Event {
+        id: id.parse().ok()?,
+        runner,
+        version,
+        last: last.parse().ok()?,
+    };
+    (number == id && words.next().is_none()).then_some(event)
+}
+
+pub(super) fn judge(case: &Case<'_>, verdict: &mut Verdict) {
+    let mut chains: BTreeMap<(u64, &str), Vec<&Sent>> = BTreeMap::new();
+    for sent in case.sent.iter().filter(|s| s.is_stream) {
+        let first = sent.resumes.as_deref().unwrap_or(&sent.attempt);
+        let at = case.by_attempt.get(first).map_or(sent.at, |s| s.at);
+        chains.entry((at, first)).or_default().push(sent);
+    }
+    for tries in chains.values() {
+        judge_stream(case, tries, verdict);
+    }
+}
+
+/// Judges the events of a stream over all tries of its caller.
+fn judge_stream(case: &Case<'_>, tries: &[&Sent], verdict: &mut Verdict) {
+    let mut before: Option<(Event<'_>, &str)> = None;
+    for sent in tries {
+        let attempt = sent.attempt.as_str();
+        let Some(answer) = case.answers.get(attempt) else {
+            continue;
+        };
+        for (_, text) in &answer.events {
+            verdict.check(Promise::Order);
+            let mut made = case.made.get(attempt).into_iter().flatten();
+            let is_made = made.any(|(known, _)| known == text);
+            let event = parse(text).filter(|_| is_made);
+            let Some(event) = event else {
+                let what = format!("{attempt} got an event that no runner made for it: {text:?}");
+                verdict.find(Promise::Mixed, what);
+                return;
+            };
+            if let Some(what) = compare(before.as_ref(), &event, sent) {
+                verdict.find(Promise::Order, what);
+                return;
+            }
+            before = Some((event, attempt));
+        }
+        let Some((_, end, rest)) = answer.end else {
+            continue;
+        };
+        let is_success = answer.head.is_some_and(|(s, ..)| (200..300).contains(&s));
+        if !is_success || end != End::Whole {
+            continue;
+        }
+        verdict.check(Promise::Order);
+        let (id, last) = before.as_ref().map_or((0, 1), |(e, _)| (e.id, e.last));
+        if id < last {
+            let runner = before.as_ref().map_or("no runner", |(e, _)| e.runner);
+            let what = format!(
+                "{attempt} ended as whole behind event {id} of {last} of {runner}, rest {rest:?}"
+            );
+            verdict.find(Promise::Order, what);
+            return;
+        }
+        if !rest.is_empty() {
+            let what = format!("{attempt} ended as whole with a part of an event: {rest:?}");
+            verdict.find(Promise::Mixed, what);
+        }
+    }
+}
+
+/// Returns what is wrong with an event behind another one.
+fn compare(before: Option<&(Event<'_>, &str)>, event: &Event<'_>, sent: &Sent) -> Option<String> {
+    let attempt = &sent.attempt;
+    let Some((known, tried)) = before else {
+        let is_first = event.id == 1;
+        return (!is_first).then(|| format!("{attempt} began with event {}", event.id));
+    };
+    let joined = format!(
+        "event {} of {} ({}) behind event {} of {} ({}, in {tried})",
+        event.id, event.runner, event.version, known.id, known.runner, known.version
+    );
+    if event.id <= known.id {
+        return Some(format!("{attempt} went back: {joined}"));
+    }
+    if event.id > known.id + 1 {
+        return Some(format!("{attempt} left out events: {joined}"));
+    }
+    if event.version != known.version {
+        return Some(format!("{attempt} joined two versions: {joined}"));
+    }
+    let is_joined = event.runner != known.runner && !sent.is_repeatable;
+    is_joined.then(|| format!("{attempt} joined two runs, which its route forbids: {joined}"))
+}
--- /dev/null
+++ b/tools/soak/src/plan.rs
@@ -0,0 +1,154 @@
+//! The faults of a run, from its seed.
+
+use crate::runner::Mode;
+use rand::{RngExt, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use std::fmt;
+
+/// The processes of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// The number of controllers.
+    pub controllers: usize,
+    /// The number of gateways.
+    pub gateways: usize,
+    /// The number of runners.
+    pub runners: usize,
+    /// The length of the run, in milliseconds.
+    pub length: u64,
+}
+
+/// A fault, with the indices of the processes that it concerns.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// Gateways are killed and start again.
+    KillGateways(Vec<usize>),
+    /// A gateway is told to end, and starts again when it has ended.
+    TermGateway(usize),
+    /// A gateway is stopped for so many milliseconds.
+    StopGateway(usize, u64),
+    /// A controller is killed and starts again after so many milliseconds.
+    KillController(usize, u64),
+    /// A controller is stopped for so many milliseconds.
+    StopController(usize, u64),
+    /// Runners are killed and start again after so many milliseconds, with another
+    /// software version if told so.
+    KillRunners(Vec<usize>, u64, bool),
+    /// A runner is stopped for so many milliseconds.
+    StopRunner(usize, u64),
+    /// Runners misbehave for so many milliseconds.
+    Misbehave(Vec<usize>, Box<Mode>, u64),
+    /// The configuration is sent again with a higher version.
+    Configure,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+/// A fault and when it begins, in milliseconds after the start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// When it begins.
+    pub at: u64,
+    /// What happens.
+    pub fault: Fault,
+}
+
+/// The time without faults at both ends of a run, in milliseconds.
+const CALM: u64 = 4_000;
+
+/// Draws the faults of a run. The same seed and size draw the same faults.
+pub fn plan(seed: u64, size: &Size) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let end = size.length.saturating_sub(CALM);
+    let mut at = CALM;
+    while at < end {
+        scene(&mut random, size, at, &mut steps);
+        at += random.random_range(2_000..6_000);
+    }
+    steps.retain(|s| s.at < end);
+    steps.sort_by_key(|s| s.at);
+    steps
+}
+
+/// Adds faults that belong together.
+fn scene(random: &mut ChaCha8Rng, size: &Size, at: u64, steps: &mut Vec<Step>) {
+    let gateway = random.random_range(0..size.gateways);
+    let runner = random.random_range(0..size.runners);
+    let controller = random.random_range(0..size.controllers);
+    let pause = random.random_range(500..5_000);
+    let mut add = |at, fault| steps.push(Step { at, fault });
+    match random.random_range(0..12) {
+        // Restarts in series while runners refuse: each start may take a new share.
+        0 | 1 => {
+            let refusing = pick(random, size.runners, 0.8);
+            let mode = Mode {
+                refuse: 0.8,
+                twice: random.random_bool(0.3),
+                ..Mode::default()
+            };
+            add(at, Fault::Misbehave(refusing, Box::new(mode), 9_000));
+            let gateways = pick(random, size.gateways, 0.7);
+            for i in 0..random.random_range(2..5) {
+                let at = at + 1_000 + i * random.random_range(1_200..2_500);
+                add(at, Fault::KillGateways(gateways.clone()));
+            }
+        }
+        2 => {
+            let runners = pick(random, size.runners, 0.4);
+            add(at, Fault::KillRunners(runners, 600, false));
+        }
+        3 => {
+            let runners = pick(random, size.runners, 0.5);
+            add(at, Fault::KillRunners(runners, 600, true));
+        }
+        4 => add(at, Fault::TermGateway(gateway)),
+        5 => add(at, Fault::StopGateway(gateway, pause)),
+        6 => add(at, Fault::KillController(controller, pause)),
+        7 => add(at, Fault::StopController(controller, pause)),
+        8 => add(at, Fault::StopRunner(runner, pause)),
+        9 => {
+            let runners = pick(random, size.runners, 0.7);
+            let mode = Mode {
+                cut: 0.3,
+                early: 0.5,
+                unframed: 0.5,
+                anew: if random.random_bool(0.3) { 0.2 } else { 0.0 },
+                ..Mode::default()
+            };
+            add(at, Fault::Misbehave(runners, Box::new(mode), 6_000));
+        }
+        10 => {
+            let runners = pick(random, size.runners, 0.3);
+            let mode = Mode {
+                silent: random.random_bool(0.5),
+                slow: 8.0,
+                ..Mode::default()
+            };
+            add(at, Fault::Misbehave(runners, Box::new(mode), pause));
+            add(at + 500, Fault::KillGateways(vec![gateway]));
+        }
+        _ => {
+            for i in 0..3 {
+                let at = at + i * 1_500;
+                add(at, Fault::KillGateways(vec![gateway]));
+            }
+            add(at + 400, Fault::Configure);
+        }
+    }
+}
+
+/// Picks a share of the processes, at least one.
+fn pick(random: &mut ChaCha8Rng, number: usize, share: f64) -> Vec<usize> {
+    let mut all: Vec<usize> = (0..number).collect();
+    all.shuffle(random);
+    all.retain(|_| random.random_bool(share));
+    if all.is_empty() {
+        all.push(random.random_range(0..number));
+    }
+    all
+}
--- /dev/null
+++ b/tools/soak/src/run.rs
@@ -0,0 +1,273 @@
+//! One seed: starts the processes, injects the faults, and judges.
+
+mod deployment;
+
+use crate::{
+    caller::{Caller, Callers},
+    judge::{Bounds, Verdict, judge},
+    plan::{Fault, Size, plan},
+    record::{Record, now_ms},
+    report,
+    wire::call,
+};
+use deployment::{Deployment, configuration};
+use parking_lot::Mutex;
+use rustix::process::Signal;
+use sequoiawing_runtime::{run as block_on, sleep, spawn, timeout};
+use std::{
+    fs, io,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+/// The settings of a run.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The seed of the faults.
+    pub seed: u64,
+    /// The processes and the length.
+    pub size: Size,
+    /// The number of callers.
+    pub callers: usize,
+    /// The program of gateways and controllers.
+    pub platform: PathBuf,
+    /// Where the folder of the seed is made.
+    pub logs: PathBuf,
+}
+
+/// The bounds of the retry budget, which gateways are told too.
+const BOUNDS: Bounds = Bounds {
+    ratio: 0.2,
+    slack: 52.0,
+    window: 10_000,
+};
+
+/// The time within which all processes serve.
+const START_LIMIT: Duration = Duration::from_mins(1);
+
+/// The time between two lines of progress, in milliseconds.
+const PROGRESS: u64 = 10_000;
+
+/// The time from SIGTERM to SIGKILL.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// The time in which callers read their last answers.
+const LAST_ANSWERS: Duration = Duration::from_secs(14);
+
+/// Plays a seed; returns whether all promises held.
+///
+/// # Errors
+///
+/// Returns an error if the processes can't be started or don't serve in time.
+pub fn run(settings: &Settings) -> io::Result<bool> {
+    block_on(play(settings))
+}
+
+async fn play(settings: &Settings) -> io::Result<bool> {
+    let folder = settings.logs.join(settings.seed.to_string());
+    fs::remove_dir_all(&folder).ok();
+    fs::create_dir_all(&folder)?;
+    let folder = folder.canonicalize()?;
+    let size = &settings.size;
+    let deployment = Deployment::start(&settings.platform, folder.clone(), size, &BOUNDS)?;
+    let deployment = Arc::new(deployment);
+    timeout(START_LIMIT, deployment.wait_until_serving())
+        .await
+        .ok_or_else(|| io::Error::other("the processes did not serve in time"))?;
+    let callers = Arc::new(Callers {
+        gateways: (0..size.gateways).map(|i| deployment.callers(i)).collect(),
+        rotation: (0..size.gateways).map(|_| AtomicBool::new(true)).collect(),
+        records: Mutex::default(),
+        is_over: AtomicBool::new(false),
+    });
+    for i in 0..size.gateways {
+        spawn(watch(callers.clone(), i, deployment.ready(i))).detach();
+    }
+    let tasks: Vec<_> = (0..settings.callers)
+        .map(|_| spawn(Caller::new(callers.clone()).run()))
+        .collect();
+    let faults = inject(settings, &deployment, &callers).await;
+    callers.is_over.store(true, Ordering::Relaxed);
+    let calm = async {
+        for task in faults {
+            task.await;
+        }
+        for task in tasks {
+            task.await;
+        }
+    };
+    timeout(LAST_ANSWERS, calm).await;
+    let records = collect(&deployment, &callers);
+    let verdict = judge(&records, &BOUNDS);
+    for note in &verdict.notes {
+        println!("{note}");
+    }
+    println!("{}", served(&records));
+    report::print(settings.seed, &verdict);
+    finish(&folder, &records, &verdict)
+}
+
+/// Keeps the folder of a seed that broke a promise.
+fn finish(folder: &std::path::Path, records: &[Record], verdict: &Verdict) -> io::Result<bool> {
+    if verdict.findings.is_empty() {
+        fs::remove_dir_all(folder).ok();
+        return Ok(true);
+    }
+    let lines = records.iter().map(serde_json::to_string);
+    let lines: Result<Vec<_>, _> = lines.collect();
+    fs::write(folder.join("records.jsonl"), lines?.join("\n"))?;
+    let findings = verdict.findings.iter();
+    let findings: Vec<_> = findings
+        .map(|f| format!("{}: {}", f.promise, f.what))
+        .collect();
+    fs::write(folder.join("findings.txt"), findings.join("\n"))?;
+    println!("logs: {}", folder.display());
+    Ok(false)
+}
+
+/// Reads what callers saw and then what runners saw, so that runners know at least as
+/// much.
+fn collect(deployment: &Deployment, callers: &Callers) -> Vec<Record> {
+    let mut records = callers.records.lock().clone();
+    records.extend(deployment.runner_records());
+    records
+}
+
+/// Describes how many requests were answered with which status.
+fn served(records: &[Record]) -> String {
+    let mut sent = 0;
+    let mut statuses = std::collections::BTreeMap::<u16, u32>::new();
+    for record in records {
+        match record {
+            Record::Sent(_) => sent += 1,
+            Record::Head { status, .. } => *statuses.entry(*status).or_default() += 1,
+            _ => {}
+        }
+    }
+    format!("{sent} tries, answers by status: {statuses:?}")
+}
+
+/// Checks the readiness of a gateway as the platform does.
+async fn watch(callers: Arc<Callers>, i: usize, address: SocketAddr) {
+    let mut misses = 0;
+    loop {
+        let sent = timeout(Duration::from_secs(1), call(address, "GET", "/readyz", ""));
+        let is_ready = matches!(sent.await, Some(Ok((200, _))));
+        misses = if is_ready { 0 } else { misses + 1 };
+        if is_ready || misses > 1 {
+            callers.rotation[i].store(is_ready, Ordering::Relaxed);
+        }
+        sleep(Duration::from_secs(1)).await;
+    }
+}
+
+/// Injects the faults and prints progress until the run is over.
+async fn inject(
+    settings: &Settings,
+    deployment: &Arc<Deployment>,
+    callers: &Arc<Callers>,
+) -> Vec<sequoiawing_runtime::Task<()>> {
+    let start = now_ms();
+    let length = settings.size.length;
+    let mut tasks = Vec::new();
+    let mut steps = plan(settings.seed, &settings.size).into_iter().peekable();
+    let mut next_line = PROGRESS;
+    while now_ms() - start < length {
+        let at = now_ms() - start;
+        while let Some(step) = steps.next_if(|s| s.at <= at) {
+            println!("{at} ms: {}", step.fault);
+            tasks.push(spawn(apply(
+                deployment.clone(),
+                callers.clone(),
+                step.fault,
+            )));
+        }
+        if at >= next_line {
+            next_line += PROGRESS;
+            let records = collect(deployment, callers);
+            let findings = judge(&records, &BOUNDS).findings.len();
+            println!("{at} ms: {}, {findings} findings", served(&records));
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    tasks
+}
+
+async fn apply(deployment: Arc<Deployment>, callers: Arc<Callers>, fault: Fault) {
+    let note = |runner: Option<String>| {
+        callers.note(Record::Fault {
+            at: now_ms(),
+            what: fault.to_string(),
+            runner,
+        });
+    };
+    note(None);
+    match &fault {
+        Fault::KillGateways(indices) => {
+            for i in indices {
+                deployment.gateways[*i].lock().start().ok();
+            }
+        }
+        Fault::TermGateway(i) => {
+            let gateway = &deployment.gateways[*i];
+            let starts = gateway.lock().starts();
+            gateway.lock().signal(Signal::TERM);
+            let start = Instant::now();
+            while gateway.lock().is_alive() && start.elapsed() < GRACE {
+                sleep(Duration::from_millis(50)).await;
+            }
+            let mut gateway = gateway.lock();
+            if gateway.starts() == starts {
+                gateway.start().ok();
+            }
+        }
+        Fault::StopGateway(i, pause) => pause_process(&deployment.gateways[*i], *pause).await,
+        Fault::StopController(i, pause) => {
+            pause_process(&deployment.controllers[*i], *pause).await;
+        }
+        Fault::KillController(i, pause) => {
+            deployment.controllers[*i].lock().kill();
+            sleep(Duration::from_millis(*pause)).await;
+            deployment.controllers[*i].lock().start().ok();
+        }
+        Fault::KillRunners(indices, pause, is_other) => {
+            for i in indices {
+                note(Some(deployment.kill_runner(*i)));
+            }
+            sleep(Duration::from_millis(*pause)).await;
+            for i in indices {
+                deployment.start_runner(*i, *is_other).ok();
+            }
+        }
+        Fault::StopRunner(i, pause) => {
+            note(Some(deployment.runner_id(*i)));
+            let process = &deployment.runners[*i].process;
+            pause_process(process, *pause).await;
+            note(Some(deployment.runner_id(*i)));
+        }
+        Fault::Misbehave(indices, mode, length) => {
+            for i in indices {
+                deployment.set_mode(*i, mode);
+            }
+            sleep(Duration::from_millis(*length)).await;
+            for i in indices {
+                deployment.set_mode(*i, &crate::runner::Mode::default());
+            }
+        }
+        Fault::Configure => {
+            let version = now_ms();
+            deployment.configure(&configuration(version)).await;
+        }
+    }
+}
+
+async fn pause_process(process: &Mutex<crate::processes::Process>, pause: u64) {
+    process.lock().signal(Signal::STOP);
+    sleep(Duration::from_millis(pause)).await;
+    process.lock().signal(Signal::CONT);
+}
--- /dev/null
+++ b/tools/soak/src/runner.rs
@@ -0,0 +1,178 @@
+//! A runner in a process of its own, so that the kernel closes its connections when it
+//! is killed.
+//!
+//! It takes its [`Mode`] from lines on its standard input and exits at the end of that
+//! input. What it receives and makes goes to a file before it goes to a connection, so
+//! that the judge knows more than any caller can have seen.
+
+mod heartbeats;
+mod requests;
+
+use crate::record::Record;
+use async_net::TcpListener;
+use parking_lot::Mutex;
+use sequoiawing_runtime::{run, sleep, spawn};
+use serde::{Deserialize, Serialize};
+use std::{
+    fs::File,
+    io::{self, BufRead, Write},
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// The settings of a runner.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct RunnerSettings {
+    /// The identity of this incarnation.
+    pub(crate) id: String,
+    pub(crate) service: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) centre: String,
+    /// The version of its software.
+    pub(crate) version: String,
+    /// The models that it holds; a runner of a service without models holds none.
+    pub(crate) models: Vec<String>,
+    pub(crate) controls: Vec<SocketAddr>,
+    /// The interval between heartbeats, in milliseconds.
+    pub(crate) heartbeat: u64,
+    pub(crate) slots: usize,
+    /// The file for its record.
+    pub(crate) record: PathBuf,
+}
+
+/// How a runner misbehaves. Shares are from 0 to 1.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Mode {
+    /// The share of plain requests that fail with 500.
+    pub errors: f64,
+    /// The share of requests that are refused.
+    pub refuse: f64,
+    /// Whether a refusal is written twice.
+    pub twice: bool,
+    /// The share of streams that break off within an event.
+    pub cut: f64,
+    /// The share of streams without length that end between two events.
+    pub early: f64,
+    /// The share of streams without length or chunks.
+    pub unframed: f64,
+    /// The factor by which work takes longer.
+    pub slow: f64,
+    /// Whether nothing is answered and no heartbeat is sent.
+    pub silent: bool,
+    /// Whether it leaves soon.
+    pub draining: bool,
+    /// The share of resumed streams that begin anew, which no caller may notice.
+    pub anew: f64,
+}
+
+impl Default for Mode {
+    fn default() -> Self {
+        Self {
+            errors: 0.14,
+            refuse: 0.0,
+            twice: false,
+            cut: 0.0,
+            early: 0.0,
+            unframed: 0.3,
+            slow: 1.0,
+            silent: false,
+            draining: false,
+            anew: 0.0,
+        }
+    }
+}
+
+/// What changes while a runner runs.
+#[derive(Default)]
+struct State {
+    mode: Mode,
+    models: Vec<String>,
+    running: usize,
+    waiting: usize,
+    heartbeats: u64,
+    orders: u64,
+    fence: u64,
+    is_busy: bool,
+}
+
+struct Runner {
+    settings: RunnerSettings,
+    born: u64,
+    state: Mutex<State>,
+    record: Mutex<File>,
+}
+
+impl Runner {
+    fn mode(&self) -> Mode {
+        self.state.lock().mode.clone()
+    }
+
+    fn note(&self, record: &Record) {
+        let Ok(mut line) = serde_json::to_string(record) else {
+            return;
+        };
+        line.push('\n');
+        self.record.lock().write_all(line.as_bytes()).ok();
+    }
+}
+
+/// Runs a runner until its standard input ends.
+///
+/// # Errors
+///
+/// Returns an error if its settings are invalid, or its file or address can't be opened.
+pub fn run_runner(settings: &str) -> io::Result<()> {
+    let settings: RunnerSettings = serde_json::from_str(settings)?;
+    let record = File::options()
+        .create(true)
+        .append(true)
+        .open(&settings.record)?;
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let state = State {
+        models: settings.models.clone(),
+        ..State::default()
+    };
+    let runner = Arc::new(Runner {
+        born: u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or_default(),
+        state: Mutex::new(state),
+        record: Mutex::new(record),
+        settings,
+    });
+    let commands = runner.clone();
+    std::thread::spawn(move || obey(&commands));
+    run(serve(&runner))
+}
+
+/// Takes modes from the standard input.
+fn obey(runner: &Runner) {
+    for line in io::stdin().lock().lines().map_while(Result::ok) {
+        if let Ok(mode) = serde_json::from_str(&line) {
+            runner.state.lock().mode = mode;
+        }
+    }
+    std::process::exit(0);
+}
+
+async fn serve(runner: &Arc<Runner>) -> io::Result<()> {
+    let listener = bind(runner.settings.address).await?;
+    spawn(heartbeats::send(runner.clone())).detach();
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            spawn(requests::serve(runner.clone(), stream)).detach();
+        }
+    }
+}
+
+/// Binds the address, which the incarnation before may hold for a moment.
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    for _ in 0..50 {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return Ok(listener);
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    TcpListener::bind(address).await
+}
--- /dev/null
+++ b/tools/soak/src/runner/requests.rs
@@ -0,0 +1,316 @@
+//! How a runner answers requests.
+
+use super::{Mode, Runner, heartbeats::model_list};
+use crate::{
+    record::{Record, now_ms},
+    wire::{Head, Wire, head},
+};
+use async_net::TcpStream;
+use futures_lite::FutureExt;
+use rand::RngExt;
+use sequoiawing_runtime::{sleep, spawn};
+use serde_json::{Value, json};
+use std::{io, sync::Arc, time::Duration};
+
+/// The time between two events.
+const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long a plain request runs.
+const RUN_TIME: Duration = Duration::from_millis(30);
+
+/// The signature of all answers of the stand-ins.
+const SEAL: &str = "3e1b.07.5a2.600.0.c9f2a4d1";
+
+/// A request that a runner read.
+struct Request {
+    head: Head,
+    attempt: String,
+    body: Vec<u8>,
+}
+
+/// Counts a request that runs, until it is dropped.
+struct Slot(Arc<Runner>);
+
+impl Slot {
+    fn take(runner: &Arc<Runner>) -> Option<Self> {
+        let mut state = runner.state.lock();
+        if state.running >= runner.settings.slots {
+            return None;
+        }
+        state.running += 1;
+        Some(Self(runner.clone()))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.state.lock().running -= 1;
+    }
+}
+
+/// Serves the requests of one connection.
+pub(super) async fn serve(runner: Arc<Runner>, stream: TcpStream) {
+    let mut wire = Wire::new(stream);
+    while let Ok(true) = serve_next(&runner, &mut wire).await {}
+}
+
+/// Serves a request; returns whether the connection may be used again.
+async fn serve_next(runner: &Arc<Runner>, wire: &mut Wire) -> io::Result<bool> {
+    let head = wire.read_head().await?;
+    let body = wire.read_body(head.request_framing()).await?;
+    while runner.mode().silent {
+        sleep(Duration::from_millis(50)).await;
+    }
+    let request = Request {
+        attempt: head.get("attempt-id").unwrap_or_default().to_owned(),
+        head,
+        body,
+    };
+    match request.head.word(1) {
+        "/healthz" => answer(runner, wire, 200, &request, "").await?,
+        "/report" => {
+            let text = report(runner).to_string();
+            answer(runner, wire, 200, &request, &text).await?;
+        }
+        "/order" => {
+            let status = order(runner, &request.body);
+            answer(runner, wire, status, &request, "").await?;
+        }
+        _ => return run(runner, wire, &request).await,
+    }
+    Ok(!request.head.closes())
+}
+
+/// Writes an answer with its length.
+async fn answer(
+    runner: &Runner,
+    wire: &mut Wire,
+    status: u16,
+    request: &Request,
+    body: &str,
+) -> io::Result<()> {
+    let length = body.len().to_string();
+    let mut headers = vec![
+        ("Instance-Id", runner.settings.id.as_str()),
+        ("Content-Length", &length),
+    ];
+    if !request.attempt.is_empty() {
+        headers.push(("Attempt-Id", &request.attempt));
+    }
+    match status {
+        503 | 421 => headers.push(("Not-Executed", "1")),
+        _ => headers.push(("Server-Seal", SEAL)),
+    }
+    let mut text = head(&format!("HTTP/1.1 {status} Status"), &headers);
+    text.push_str(body);
+    wire.write(text.as_bytes()).await
+}
+
+fn report(runner: &Runner) -> Value {
+    let state = runner.state.lock();
+    json!({
+        "stage": "mixed", "models": model_list(&state), "busy": state.is_busy,
+        "seq": state.orders, "waiting": state.waiting, "running": state.running,
+        "kv_used": 0, "kv_total": 100_000, "handles": 0,
+    })
+}
+
+/// Carries out an order and returns the status.
+fn order(runner: &Arc<Runner>, body: &[u8]) -> u16 {
+    let order: Value = serde_json::from_slice(body).unwrap_or_default();
+    let mut state = runner.state.lock();
+    let fence = order["fence"].as_u64().unwrap_or_default();
+    let expected = order["precondition"].as_u64();
+    if fence < state.fence {
+        return 412;
+    }
+    if state.is_busy || expected.is_some_and(|e| e != state.orders) {
+        return 409;
+    }
+    state.fence = fence;
+    state.orders += 1;
+    state.is_busy = true;
+    let model = order["model"].as_str().unwrap_or_default().to_owned();
+    let is_load = order["op"] == "loading";
+    let shared = runner.clone();
+    spawn(async move {
+        sleep(Duration::from_millis(if is_load { 400 } else { 30 })).await;
+        let mut state = shared.state.lock();
+        state.is_busy = false;
+        state.models.retain(|m| *m != model);
+        if is_load {
+            state.models.push(model);
+        }
+    })
+    .detach();
+    202
+}
+
+/// Returns the status of a refusal, nothing if the runner runs the request.
+fn refusal(runner: &Runner, request: &Request, mode: &Mode) -> Option<u16> {
+    let head = &request.head;
+    let id = head.get("expect-instance");
+    if id.is_some_and(|id| id != runner.settings.id) {
+        return Some(421);
+    }
+    let model = head.get("model").and_then(|m| m.split('/').next());
+    let state = runner.state.lock();
+    if model.is_some_and(|m| !state.models.iter().any(|known| known == m)) {
+        return Some(421);
+    }
+    rand::rng().random_bool(mode.refuse).then_some(503)
+}
+
+async fn run(runner: &Arc<Runner>, wire: &mut Wire, request: &Request) -> io::Result<bool> {
+    let mode = runner.mode();
+    let is_stream = request.head.get("model").is_some();
+    let refused = refusal(runner, request, &mode);
+    let slot = match refused {
+        Some(_) => None,
+        None => Slot::take(runner),
+    };
+    let fails = !is_stream && rand::rng().random_bool(mode.errors);
+    let status = match (refused, &slot) {
+        (Some(status), _) => status,
+        (None, None) => 503,
+        (None, Some(_)) if fails => 500,
+        _ => 200,
+    };
+    let number = |name| request.head.get(name).and_then(|v| v.parse().ok());
+    let settings = &runner.settings;
+    runner.note(&Record::Arrival {
+        at: now_ms(),
+        attempt: request.attempt.clone(),
+        service: settings.service.clone(),
+        runner: settings.id.clone(),
+        version: settings.version.clone(),
+        deadline: number("deadline-ms"),
+        after: number("last-event-id"),
+        ran: slot.is_some(),
+        status,
+    });
+    if slot.is_none() {
+        answer(runner, wire, status, request, "").await?;
+        if mode.twice {
+            sleep(Duration::from_millis(20)).await;
+            answer(runner, wire, status, request, "").await?;
+        }
+        return Ok(!request.head.closes());
+    }
+    if is_stream {
+        return stream(runner, wire, request, &mode, number("last-event-id")).await;
+    }
+    let work = async {
+        sleep(RUN_TIME.mul_f64(mode.slow)).await;
+        Ok(())
+    };
+    work.or(gone(wire)).await?;
+    let body = format!("ran {} at {}", request.attempt, settings.id);
+    runner.note(&made(runner, request, &body));
+    answer(runner, wire, status, request, &body).await?;
+    Ok(!request.head.closes())
+}
+
+fn made(runner: &Runner, request: &Request, text: &str) -> Record {
+    Record::Made {
+        attempt: request.attempt.clone(),
+        runner: runner.settings.id.clone(),
+        text: text.to_owned(),
+    }
+}
+
+/// Waits until the caller closes the connection.
+async fn gone(wire: &mut Wire) -> io::Result<()> {
+    while wire.fill().await? {}
+    Err(io::ErrorKind::BrokenPipe.into())
+}
+
+/// Sends the events of a stream behind `after`; returns whether the connection may be
+/// used again.
+async fn stream(
+    runner: &Arc<Runner>,
+    wire: &mut Wire,
+    request: &Request,
+    mode: &Mode,
+    after: Option<u64>,
+) -> io::Result<bool> {
+    let (is_unframed, is_cut, is_early, is_anew) = {
+        let mut random = rand::rng();
+        (
+            random.random_bool(mode.unframed),
+            random.random_bool(mode.cut),
+            random.random_bool(mode.early),
+            random.random_bool(mode.anew),
+        )
+    };
+    let settings = &runner.settings;
+    let last = last_event(request.head.word(1));
+    let first = after.filter(|_| !is_anew).unwrap_or(0) + 1;
+    let framing = if is_unframed {
+        ("Connection", "close")
+    } else {
+        ("Transfer-Encoding", "chunked")
+    };
+    let headers = [
+        ("Content-Type", "text/event-stream"),
+        ("Instance-Id", &settings.id),
+        ("Attempt-Id", &request.attempt),
+        ("Server-Seal", SEAL),
+        framing,
+    ];
+    let pause = EVENT_INTERVAL.mul_f64(mode.slow);
+    sleep(pause).await;
+    wire.write(head("HTTP/1.1 200 OK", &headers).as_bytes())
+        .await?;
+    for id in first..=last {
+        let wait = async {
+            sleep(pause).await;
+            Ok(())
+        };
+        wait.or(gone(wire)).await?;
+        while runner.mode().silent {
+            sleep(Duration::from_millis(50)).await;
+        }
+        let text = format!(
+            "id: {id}\ndata: {} {} {id}/{last}",
+            settings.id, settings.version
+        );
+        let is_break = id > first + 2;
+        if is_break && is_early && is_unframed {
+            return Ok(false);
+        }
+        let message = format!("{text}\n\n");
+        if is_break && is_cut {
+            let half = &message[..message.len() / 2];
+            let half = if is_unframed {
+                half.to_owned()
+            } else {
+                chunk(half)
+            };
+            wire.write(half.as_bytes()).await?;
+            return Ok(false);
+        }
+        runner.note(&made(runner, request, &text));
+        let message = if is_unframed {
+            message
+        } else {
+            chunk(&message)
+        };
+        wire.write(message.as_bytes()).await?;
+    }
+    if is_unframed {
+        return Ok(false);
+    }
+    wire.write(b"0\r\n\r\n").await?;
+    Ok(!request.head.closes())
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Returns the number of events that the path asks for.
+fn last_event(path: &str) -> u64 {
+    let number = path.rsplit('/').next().and_then(|n| n.parse().ok());
+    number.unwrap_or(10)
+}
