Tell upstreams the time that is left once the connection is open

Upstreams were told more time than was left after a slow connect: the header with the deadline was built before the connection was opened. Found by reading.

Client::send_prepared and its variant for new connections call a function when a connection is open, anew for each one that turns out to be closed; gateways set the attempt's headers in it, routers the deadline. With the function called before the connect, as the code did before, prepared.rs failed: requests_are_prepared_after_a_slow_connect and requests_on_a_kept_connection_are_prepared_anew, '[0, 0]' for 700 ms at least. Not reproduced on the whole gateway, whose connects on loopback take no time.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -103,15 +103,29 @@
     slot: &mut Slot,
     last_event_id: Option<u64>,
 ) -> Result<Received, AttemptError> {
-    let request = build_request(state, exchange, slot, last_event_id)?;
+    let request = build_request(exchange)?;
+    let prepare = |request: &mut Request<Body>| {
+        let attempt = Attempt {
+            upstream: slot.upstream(),
+            remaining: exchange.remaining(state.now()),
+            customer: exchange.customer.as_ref().map(|c| &c.name),
+            urgency: exchange.urgency(),
+            last_event_id: last_event_id.or(exchange.meta.last_event_id),
+        };
+        let headers = request.headers_mut();
+        state.dialect.add_attempt_headers(headers, &attempt);
+    };
+    let client = &state.client;
     let address = slot.assignment.address;
     let repeat = exchange.route.repeat;
     // The upstream may close a pooled connection while the request is being
     // sent, which leaves unknown whether the request ran.
     let sent = if repeat == RetryPolicy::Once {
-        state.client.send_on_new_connection(address, request).await
+        client
+            .send_prepared_on_new_connection(address, request, prepare)
+            .await
     } else {
-        state.client.send(address, request).await
+        client.send_prepared(address, request, prepare).await
     };
     let response = sent.map_err(|error| match error {
         ClientError::NotSent(cause) => AttemptError::NotSent(cause),
@@ -167,12 +181,7 @@
     }
 }
 
-fn build_request(
-    state: &GatewayState,
-    exchange: &GatewayExchange,
-    slot: &Slot,
-    last_event_id: Option<u64>,
-) -> Result<Request<Body>, AttemptError> {
+fn build_request(exchange: &GatewayExchange) -> Result<Request<Body>, AttemptError> {
     let path = exchange.uri.path_and_query().map_or("/", |p| p.as_str());
     let uri: Uri = path
         .parse()
@@ -186,16 +195,6 @@
     *request.method_mut() = exchange.method.clone();
     *request.uri_mut() = uri;
     *request.headers_mut() = exchange.headers.clone();
-    let attempt = Attempt {
-        upstream: slot.upstream(),
-        remaining: exchange.remaining(state.now()),
-        customer: exchange.customer.as_ref().map(|c| &c.name),
-        urgency: exchange.urgency(),
-        last_event_id: last_event_id.or(exchange.meta.last_event_id),
-    };
-    state
-        .dialect
-        .add_attempt_headers(request.headers_mut(), &attempt);
     Ok(request)
 }
 
--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -95,8 +95,28 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<ClientBody>, ClientError> {
+        self.send_prepared(address, request, |_| {}).await
+    }
+
+    /// Sends a request like [`Client::send`]. `prepare` sets what depends on the time,
+    /// such as a header with the time that is left; it is called when a connection is
+    /// open, again for each connection that turns out to be closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether any part of the request was sent.
+    pub async fn send_prepared<P>(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        prepare: P,
+    ) -> Result<Response<ClientBody>, ClientError>
+    where
+        P: Fn(&mut Request<Body>),
+    {
         let mut request = request;
         while let Some(mut sender) = self.idle_pool.take(address) {
+            prepare(&mut request);
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.attach_connection(address, sender, response)),
                 Err(mut error) => match error.take_message() {
@@ -105,7 +125,8 @@
                 },
             }
         }
-        self.send_on_new_connection(address, request).await
+        self.send_prepared_on_new_connection(address, request, prepare)
+            .await
     }
 
     /// Sends a request on a new connection and waits for the status and headers
@@ -123,7 +144,28 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<ClientBody>, ClientError> {
+        self.send_prepared_on_new_connection(address, request, |_| {})
+            .await
+    }
+
+    /// Sends a request like [`Client::send_on_new_connection`]; `prepare` is called when
+    /// the connection is open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether any part of the request was sent.
+    pub async fn send_prepared_on_new_connection<P>(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        prepare: P,
+    ) -> Result<Response<ClientBody>, ClientError>
+    where
+        P: Fn(&mut Request<Body>),
+    {
+        let mut request = request;
         let mut sender = self.connect(address).await?;
+        prepare(&mut request);
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.attach_connection(address, sender, response)),
             Err(mut error) => {
--- /dev/null
+++ b/crates/sequoiawing_http/tests/prepared.rs
@@ -0,0 +1,105 @@
+//! Tests that requests are completed when their connection is open.
+
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use sequoiawing_http::{Body, Client, ConnectFuture, Connector, DirectConnector, empty};
+use sequoiawing_runtime::{run, sleep, timeout};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+const CONNECT_TIME: Duration = Duration::from_millis(700);
+
+/// Connects after a while, as where a path fails before another is tried.
+struct SlowConnector(DirectConnector);
+
+impl Connector for SlowConnector {
+    fn connect(&self, address: SocketAddr) -> ConnectFuture<'_> {
+        Box::pin(async move {
+            sleep(CONNECT_TIME).await;
+            self.0.connect(address).await
+        })
+    }
+}
+
+fn client() -> Client {
+    let direct = DirectConnector {
+        timeout: Duration::from_secs(10),
+        resets: false,
+    };
+    Client::with_connector(Arc::new(SlowConnector(direct)), Duration::from_mins(1))
+}
+
+fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).expect("a request") > 0 {
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).expect("a head in ASCII")
+}
+
+/// Sends requests one after the other; returns the age, in milliseconds, that each one
+/// bears in a header when it arrives.
+fn ages(pooled: bool, requests: usize) -> Vec<u64> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let server = thread::spawn(move || {
+        let mut ages = Vec::new();
+        while ages.len() < requests {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            loop {
+                let head = read_head(&mut stream);
+                let Some((_, rest)) = head.split_once("retry-after: ") else {
+                    break;
+                };
+                let age = rest.lines().next().unwrap_or_default();
+                ages.push(age.parse().expect("a number"));
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                stream.write_all(answer).expect("an open connection");
+                if ages.len() == requests {
+                    break;
+                }
+            }
+        }
+        ages
+    });
+    let client = client();
+    for _ in 0..requests {
+        let began = Instant::now();
+        let prepare = |request: &mut hyper::Request<Body>| {
+            let age = u64::try_from(began.elapsed().as_millis()).expect("a short time");
+            let headers = request.headers_mut();
+            headers.insert(RETRY_AFTER, HeaderValue::from(age));
+        };
+        let request = hyper::Request::new(empty());
+        let sent = run(timeout(Duration::from_secs(10), async {
+            if pooled {
+                client.send_prepared(address, request, prepare).await
+            } else {
+                client
+                    .send_prepared_on_new_connection(address, request, prepare)
+                    .await
+            }
+        }));
+        drop(sent.expect("no timeout").expect("an answer"));
+    }
+    server.join().expect("the server ends")
+}
+
+/// Guards against upstreams that are told more time than is left, since the time was
+/// taken before a slow connect.
+#[test]
+fn requests_are_prepared_after_a_slow_connect() {
+    let ages = ages(false, 1);
+    assert!(ages[0] >= 700, "{ages:?}");
+}
+
+#[test]
+fn requests_on_a_kept_connection_are_prepared_anew() {
+    let ages = ages(true, 2);
+    assert!(ages[0] >= 700 && ages[1] < 700, "{ages:?}");
+}
--- a/crates/sequoiawing_router/src/attempt.rs
+++ b/crates/sequoiawing_router/src/attempt.rs
@@ -152,12 +152,7 @@
         }
     }
 
-    fn build(
-        &self,
-        attempt: &str,
-        remaining: Duration,
-        point: Option<&ResumePoint>,
-    ) -> Request<Body> {
+    fn build(&self, attempt: &str, point: Option<&ResumePoint>) -> Request<Body> {
         let mut request = Request::new(from_bytes(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
@@ -169,7 +164,6 @@
             }
         };
         set(ATTEMPT_HEADER, attempt);
-        set(DEADLINE_HEADER, &remaining.as_millis().to_string());
         if let Some(point) = point {
             set(RESUME_ATTEMPT_HEADER, &point.attempt);
             set(RESUME_OFFSET_HEADER, &point.offset.to_string());
@@ -214,12 +208,12 @@
         let attempt = format!("{}-{number}", template.nonce);
         let remaining = deadline.since(self.state.now());
         let build = || {
-            let mut request = template.build(&attempt, remaining, point);
+            let mut request = template.build(&attempt, point);
             assignment.add_priority(request.headers_mut());
             request
         };
         let address = self.state.translations.translate(assignment.address);
-        let sent = self.send_http(address, template.repeatable, build);
+        let sent = self.send_http(address, template.repeatable, deadline, build);
         let response = match timeout(remaining, sent).await {
             Some(Ok(response)) => response,
             Some(Err(ClientError::NotSent(cause))) => return Err(AttemptError::not_sent(cause)),
@@ -260,18 +254,30 @@
         &self,
         address: SocketAddr,
         repeatable: bool,
+        deadline: Time,
         build: B,
     ) -> Result<Response<ClientBody>, ClientError>
     where
         B: Fn() -> Request<Body>,
     {
-        let client = &self.state.client;
+        let state = &self.state;
+        let client = &state.client;
+        let set_deadline = |request: &mut Request<Body>| {
+            let remaining = deadline.since(state.now()).as_millis();
+            let remaining = u64::try_from(remaining).unwrap_or(u64::MAX);
+            let headers = request.headers_mut();
+            headers.insert(DEADLINE_HEADER, HeaderValue::from(remaining));
+        };
         if !repeatable {
-            return client.send_on_new_connection(address, build()).await;
+            return client
+                .send_prepared_on_new_connection(address, build(), set_deadline)
+                .await;
         }
-        match client.send(address, build()).await {
+        match client.send_prepared(address, build(), set_deadline).await {
             Err(ClientError::IdleClosed(_)) => {
-                let retried = client.send_on_new_connection(address, build()).await;
+                let retried = client
+                    .send_prepared_on_new_connection(address, build(), set_deadline)
+                    .await;
                 // The first request may have run, whatever the result of the second.
                 retried.map_err(|e| ClientError::NoResponse(e.to_string()))
             }
