Failing test: each start of a router grants all retries anew

The retry budget of a router starts with its whole credit, 100 retries for each customer and pool, and a router that is restarted every 2 s grants 6,000 retries in two minutes for the 220 of one that runs. Found by looking for the cause of the gateways' fault elsewhere.

--- a/crates/sequoiawing_router/src/retry/tests.rs
+++ b/crates/sequoiawing_router/src/retry/tests.rs
@@ -55,3 +55,16 @@
     let later = Time::from_millis(3_600_000);
     assert_eq!(drain(&mut budget, later, "daily"), MAX_RETRIES);
 }
+
+/// Guards against retries that each start of a router grants anew.
+#[test]
+fn restarted_routers_grant_no_more_than_one_that_runs() {
+    let lifetime = Time::from_millis(2_000);
+    let granted: u64 = (0..60)
+        .map(|_| drain(&mut RetryBudget::default(), lifetime, "daily"))
+        .sum();
+    assert!(
+        granted <= MAX_RETRIES + 120,
+        "{granted} retries in two minutes"
+    );
+}
