Resume streams only from answers that are streams of events

What callers saw: the text of an answer of status 200 that was no stream (a page, an error without a content type, compressed bytes) as an event in the middle of their stream, if it echoed attempt and offset; it was also counted as an event, so that the next upstream left one out. Cause: find_mismatch compared the offset and the status of the answer to a resumption, not its kind. Evidence, on the code before: joins::an_answer_without_a_type_is_not_joined got 'w0 w1 w2, "no", w4 w5 [DONE]' for 'w0 to w5 [DONE]'; a_page_is_not_joined '<p>no' and an_encoded_answer_is_not_joined the compressed bytes in the same place. Why the fix works: what can't be read as events is refused before a byte of it is read, and the rest is asked of the next upstream. The three cases pass.

--- a/crates/sequoiawing_router/src/attempt.rs
+++ b/crates/sequoiawing_router/src/attempt.rs
@@ -337,12 +337,21 @@
     let point = point?;
     let offset = headers.get(RESUME_OFFSET_HEADER);
     let offset = offset.and_then(|v| v.to_str().ok()?.parse().ok());
-    if offset != Some(point.offset) || response.status() != StatusCode::OK {
+    if offset != Some(point.offset)
+        || response.status() != StatusCode::OK
+        || !is_event_stream(headers)
+        || headers.contains_key(header::CONTENT_ENCODING)
+    {
         return Some("the upstream did not resume the stream");
     }
     None
 }
 
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content = headers.get(header::CONTENT_TYPE);
+    content.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
+}
+
 /// Returns whether a truncated response can be told from a complete one.
 fn is_delimited(template: &RequestTemplate, response: &Response<ClientBody>) -> bool {
     let status = response.status();
--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -1,7 +1,10 @@
 //! Relays an upstream's response to the caller.
 
 use crate::{
-    attempt::{AttemptError, AttemptSender, RequestTemplate, ResumePoint, UpstreamResponse},
+    attempt::{
+        AttemptError, AttemptSender, RequestTemplate, ResumePoint, UpstreamResponse,
+        is_event_stream,
+    },
     headers::{RAN_HEADER, remove_internal_headers},
     shard::{Assignment, PoolShard},
     state::WithdrawalFuture,
@@ -9,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
-    HeaderMap, Response,
+    Response,
     body::{Body as HttpBody, Frame, SizeHint},
     header::{self, HeaderValue},
     http::response::Parts,
@@ -56,11 +59,6 @@
     parts
 }
 
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let content = headers.get(header::CONTENT_TYPE);
-    content.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
-}
-
 /// The buffered part of a body, followed by the rest of it.
 struct BufferedBody {
     buffered: VecDeque<Bytes>,
