Refuse responses with a transfer encoding other than chunks

What callers saw: half an answer of status 200 with a clean end, after its upstream had closed the connection in the middle. Cause: is_delimited took any Transfer-Encoding for a framing; one that is not 'chunked' ends with the connection, which also ends when the upstream is killed. One that is compressed and chunked was relayed without saying that it is compressed. Why the fix works: only 'chunked' alone, or a length without any encoding, shows where an answer ends.

--- a/crates/sequoiawing_router/src/attempt.rs
+++ b/crates/sequoiawing_router/src/attempt.rs
@@ -353,6 +353,8 @@
 }
 
 /// Returns whether a truncated response can be told from a complete one.
+///
+/// A response with a transfer encoding other than chunks ends with its connection.
 fn is_delimited(template: &RequestTemplate, response: &Response<ClientBody>) -> bool {
     let status = response.status();
     let is_empty = template.method == Method::HEAD
@@ -360,9 +362,14 @@
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED;
     let headers = response.headers();
-    is_empty
-        || headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
+    let mut encodings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    match encodings.next() {
+        _ if is_empty => true,
+        None => headers.contains_key(header::CONTENT_LENGTH),
+        Some(first) => {
+            first.as_bytes().eq_ignore_ascii_case(b"chunked") && encodings.next().is_none()
+        }
+    }
 }
 
 fn reports_not_run(response: &Response<ClientBody>) -> bool {
