Refuse a switch of protocols that routers did not ask for

What callers saw: status 101 without having asked for another protocol. Cause: every interim status counted as an answer that shows where it ends; routers never pass an 'upgrade' on. Evidence, on the code before: refusals::a_switch_of_protocols_is_no_answer, 'Response { status: 101, "sequoiawing-ran": "yes" }' where the outcome is unknown. Why the fix works: 101 is refused by its status; hyper skips the other interim answers. The case passes.

--- a/crates/sequoiawing_router/src/attempt.rs
+++ b/crates/sequoiawing_router/src/attempt.rs
@@ -331,6 +331,9 @@
     if echoed != Some(attempt.as_bytes()) {
         return Some("the answer belongs to another request");
     }
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        return Some("the upstream switched protocols");
+    }
     if !is_delimited(template, response) {
         return Some("the answer does not say where it ends");
     }
@@ -358,7 +361,6 @@
 fn is_delimited(template: &RequestTemplate, response: &Response<ClientBody>) -> bool {
     let status = response.status();
     let is_empty = template.method == Method::HEAD
-        || status.is_informational()
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED;
     let headers = response.headers();
