Relay streams that are not resumable in whole events, too

What callers saw: a part of an event before their stream broke off. Cause: only resumable streams held the rest of a cut event back. Evidence, on the code before: joins::a_stream_that_is_cut_in_an_event_breaks_off_before_it, 'left: ("data: w0 .. w2, data: {\"text\":\"half", false)'. Why the fix works: all streams pass through the same splitter. What is relayed may be shorter than the upstream's length, so the length is left out, as it was for resumable streams. The case passes.

--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -134,8 +134,10 @@
             buffered: response.buffered,
             body: response.body,
         };
-        let resume = (is_stream && template.resumable).then(|| {
+        if is_stream {
             parts.headers.remove(header::CONTENT_LENGTH);
+        }
+        let resume = (is_stream && template.resumable).then(|| {
             Box::new(StreamResume {
                 sender,
                 template,
@@ -239,12 +241,8 @@
         let Some(events) = &mut self.events else {
             return Ok(Some(chunk));
         };
-        if self.resume.is_some() {
-            let complete = events.push(chunk)?;
-            return Ok((!complete.is_empty()).then_some(complete));
-        }
-        events.push(chunk.clone())?;
-        Ok(Some(chunk))
+        let complete = events.push(chunk)?;
+        Ok((!complete.is_empty()).then_some(complete))
     }
 }
 
