Relay nothing behind the last event of a stream

What callers saw: events behind 'data: [DONE]'. Cause: the splitter only noted the last event, and RelayedBody passed on what followed. Evidence, on the code before: joins::nothing_behind_the_last_event_is_relayed got '.. [DONE], w9, w10' on a route that is not resumable. Why the fix works: chunks are cut behind the last event and later ones are read without being relayed, so that the connection can still be used again.

--- a/crates/sequoiawing_http/src/lib.rs
+++ b/crates/sequoiawing_http/src/lib.rs
@@ -19,5 +19,5 @@
 pub use connector::{ConnectFuture, Connection, Connector, DirectConnector};
 pub use headers::remove_hop_headers;
 pub use listener::{Handler, HttpListener, HttpSettings};
-pub use sse::{EventTooLong, SseSplitter};
+pub use sse::{EventTooLong, SseSplitter, stream_end};
 pub use tunnel::run_tunnel;
--- a/crates/sequoiawing_http/src/sse.rs
+++ b/crates/sequoiawing_http/src/sse.rs
@@ -119,3 +119,17 @@
     let crlf = memmem::rfind(bytes, b"\n\r\n").map_or(0, |i| i + 3);
     lf.max(crlf)
 }
+
+/// Returns the length of complete events up to the end of the last one of their stream,
+/// if it is among them.
+pub fn stream_end(events: &[u8]) -> Option<usize> {
+    let mut rest = events;
+    while let Some(end) = first_event_end(rest) {
+        let (event, behind) = rest.split_at(end);
+        if event.trim_ascii() == DONE_EVENT {
+            return Some(events.len() - behind.len());
+        }
+        rest = behind;
+    }
+    None
+}
--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -18,7 +18,7 @@
     http::response::Parts,
 };
 use sequoiawing_http::{
-    Body, BodyError, ClientBody, EventTooLong, SseSplitter, remove_hop_headers,
+    Body, BodyError, ClientBody, EventTooLong, SseSplitter, remove_hop_headers, stream_end,
 };
 use sequoiawing_runtime::sleep;
 use sequoiawing_types::{Name, Ran, Time};
@@ -241,7 +241,13 @@
         let Some(events) = &mut self.events else {
             return Ok(Some(chunk));
         };
-        let complete = events.push(chunk)?;
+        if events.is_done() {
+            return Ok(None);
+        }
+        let mut complete = events.push(chunk)?;
+        if let Some(end) = stream_end(&complete) {
+            complete.truncate(end);
+        }
         Ok((!complete.is_empty()).then_some(complete))
     }
 }
