Leave the outcome unknown if a request that was sent twice is refused

What callers saw: 502 with 'ran: no' for a repeatable call that had run: its kept connection closed without an answer, it was sent again on a new one, and was refused there. Cause: the resend keeps the number of the attempt, and the refusal of the second sending was taken for both. Evidence, on the code before: refusals::a_refusal_behind_a_closed_connection_leaves_the_ outcome_unknown, 'left: "no", right: "unknown"', with the call at the upstream twice. Why the fix works: send_http tells whether it sent twice, and a refusal then says nothing of the first sending. The case passes.

--- a/crates/sequoiawing_router/src/attempt.rs
+++ b/crates/sequoiawing_router/src/attempt.rs
@@ -220,8 +220,8 @@
         };
         let address = self.state.translations.translate(assignment.address);
         let sent = self.send_http(address, template.repeatable, build);
-        let response = match timeout(remaining, sent).await {
-            Some(Ok(response)) => response,
+        let (response, was_resent) = match timeout(remaining, sent).await {
+            Some(Ok(sent)) => sent,
             Some(Err(ClientError::NotSent(cause))) => return Err(AttemptError::not_sent(cause)),
             Some(Err(ClientError::NoResponse(cause) | ClientError::IdleClosed(cause))) => {
                 return Err(AttemptError::unknown(cause));
@@ -233,6 +233,13 @@
             return Err(AttemptError::unknown(problem));
         }
         if reports_not_run(&response) {
+            if was_resent {
+                let cause = "the upstream did not take the request when it was sent again";
+                return Err(AttemptError {
+                    unhealthy: false,
+                    ..AttemptError::unknown(cause)
+                });
+            }
             return Err(AttemptError {
                 reached: true,
                 unhealthy: false,
@@ -252,7 +259,7 @@
         Ok(response)
     }
 
-    /// Sends the request over HTTP.
+    /// Sends the request over HTTP, and returns whether it was sent twice.
     ///
     /// A pooled connection may turn out to be closed after it was idle, so it is
     /// used only for requests that may be repeated.
@@ -261,21 +268,23 @@
         address: SocketAddr,
         repeatable: bool,
         build: B,
-    ) -> Result<Response<ClientBody>, ClientError>
+    ) -> Result<(Response<ClientBody>, bool), ClientError>
     where
         B: Fn() -> Request<Body>,
     {
         let client = &self.state.client;
         if !repeatable {
-            return client.send_on_new_connection(address, build()).await;
+            let response = client.send_on_new_connection(address, build()).await?;
+            return Ok((response, false));
         }
         match client.send(address, build()).await {
             Err(ClientError::IdleClosed(_)) => {
                 let retried = client.send_on_new_connection(address, build()).await;
                 // The first request may have run, whatever the result of the second.
-                retried.map_err(|e| ClientError::NoResponse(e.to_string()))
+                let response = retried.map_err(|e| ClientError::NoResponse(e.to_string()))?;
+                Ok((response, true))
             }
-            result => result,
+            result => Ok((result?, false)),
         }
     }
 
