--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -1,7 +1,10 @@
 //! Relays an upstream's response to the caller.
 
 use crate::{
-    attempt::{AttemptError, AttemptSender, RequestTemplate, ResumePoint, UpstreamResponse},
+    attempt::{
+        AttemptError, AttemptSender, RequestTemplate, ResumePoint, UpstreamResponse,
+        is_event_stream,
+    },
     headers::{RAN_HEADER, remove_internal_headers},
     shard::{Assignment, PoolShard},
     state::WithdrawalFuture,
@@ -9,13 +12,13 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
-    HeaderMap, Response,
+    Response,
     body::{Body as HttpBody, Frame, SizeHint},
     header::{self, HeaderValue},
     http::response::Parts,
 };
 use sequoiawing_http::{
-    Body, BodyError, ClientBody, EventTooLong, SseSplitter, remove_hop_headers,
+    Body, BodyError, ClientBody, EventTooLong, SseSplitter, remove_hop_headers, stream_end,
 };
 use sequoiawing_runtime::sleep;
 use sequoiawing_types::{Name, Ran, Time};
@@ -56,11 +59,6 @@
     parts
 }
 
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let content = headers.get(header::CONTENT_TYPE);
-    content.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
-}
-
 /// The buffered part of a body, followed by the rest of it.
 struct BufferedBody {
     buffered: VecDeque<Bytes>,
@@ -136,8 +134,10 @@
             buffered: response.buffered,
             body: response.body,
         };
-        let resume = (is_stream && template.resumable).then(|| {
+        if is_stream {
             parts.headers.remove(header::CONTENT_LENGTH);
+        }
+        let resume = (is_stream && template.resumable).then(|| {
             Box::new(StreamResume {
                 sender,
                 template,
@@ -241,12 +241,14 @@
         let Some(events) = &mut self.events else {
             return Ok(Some(chunk));
         };
-        if self.resume.is_some() {
-            let complete = events.push(chunk)?;
-            return Ok((!complete.is_empty()).then_some(complete));
+        if events.is_done() {
+            return Ok(None);
+        }
+        let mut complete = events.push(chunk)?;
+        if let Some(end) = stream_end(&complete) {
+            complete.truncate(end);
         }
-        events.push(chunk.clone())?;
-        Ok(Some(chunk))
+        Ok((!complete.is_empty()).then_some(complete))
     }
 }
 
