Pass on only the event that follows the last one

Callers saw events twice, events left out and numbers that went back, and the text or the head of an error in the middle of a stream.

Cause: a gateway compared nothing that an upstream sent with what the caller had. The events of the next upstream of a stream that broke off, of a second upstream beside a silent one, and of one upstream's own stream were passed on whatever their IDs, and the position followed them back. A stream without numeric IDs was asked for from its beginning and joined to what the caller had.

StreamPosition now decides for every event, whichever upstream sent it: behind a number only the next one passes. An upstream that sends another is handled like one that broke off, and a stream without numbers is not resumed.

--- a/crates/sequoiawing_gateway/src/hedge.rs
+++ b/crates/sequoiawing_gateway/src/hedge.rs
@@ -243,7 +243,7 @@
     Some(async move {
         let sent = pin!(send(state, exchange, slot, last_event_id));
         let response = match sent.await {
-            Ok(response) => wait_for_event(state, exchange, response).await,
+            Ok(response) => wait_for_event(state, exchange, response, last_event_id).await,
             Err(error) => Err(error),
         };
         response.inspect_err(|error| {
@@ -262,6 +262,7 @@
     state: &Arc<GatewayState>,
     exchange: &GatewayExchange,
     response: UpstreamResponse,
+    last_event_id: Option<u64>,
 ) -> Result<UpstreamResponse, AttemptError> {
     let (parts, mut source) = match response {
         UpstreamResponse::Stream(parts, source) => (parts, source),
@@ -270,7 +271,8 @@
         }
         response @ UpstreamResponse::Buffered(..) => return Ok(response),
     };
-    match timeout(MAX_OVERLAP, source.stream.read_ahead()).await {
+    let last_event_id = last_event_id.or(exchange.meta.last_event_id);
+    match timeout(MAX_OVERLAP, source.stream.read_ahead(last_event_id)).await {
         Some(Err(cause)) => {
             state.record_broken_answer(exchange, &source.slot);
             source.slot.release(AttemptOutcome::Aborted);
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -6,12 +6,13 @@
     hedge::{Race, Winner},
     slots::{Slot, SlotSearch},
     source::Source,
+    stream_position::StreamPosition,
 };
 use bytes::Bytes;
 use futures::stream::unfold;
 use hyper::{Response, http::response::Parts};
 use sequoiawing_catalog::RetryPolicy;
-use sequoiawing_http::{Body, BodyError, SseSplitter, from_stream, remove_hop_headers};
+use sequoiawing_http::{Body, BodyError, from_stream, remove_hop_headers};
 use sequoiawing_policy::serving::{AttemptOutcome, BalancerRequest, Hedge, HedgeSettings};
 use sequoiawing_runtime::timeout;
 use std::{sync::Arc, time::Duration};
@@ -31,7 +32,7 @@
     /// The number of times the request was sent.
     attempts: u32,
     source: Option<Box<Source>>,
-    events: SseSplitter,
+    position: StreamPosition,
     /// Whether an event was passed on.
     has_begun: bool,
     is_finished: bool,
@@ -49,13 +50,14 @@
     let (mut parts, source) = response;
     remove_hop_headers(&mut parts.headers);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
+    let position = StreamPosition::new(exchange.meta.last_event_id);
     let relay = StreamRelay {
         state,
         exchange: Arc::new(exchange),
         request,
         attempts,
         source: Some(source),
-        events: SseSplitter::default(),
+        position,
         has_begun: false,
         is_finished: false,
     };
@@ -107,17 +109,22 @@
         }
     }
 
+    /// Returns whether another upstream can go on behind the last event.
+    fn is_resumable(&self) -> bool {
+        self.exchange.route.repeat == RetryPolicy::Resumable && self.position.may_resume()
+    }
+
     /// Returns when another upstream is tried beside a silent one.
     fn hedge_settings(&self) -> HedgeSettings {
         let route = &self.exchange.route;
         let gap = Duration::from_millis(route.gap) * SILENCE_GAPS;
-        let is_first = self.events.count() == 0;
+        let is_first = self.position.count() == 0;
         let limit = if is_first {
             gap.max(route.target_latency())
         } else {
             gap
         };
-        let is_resumable = route.repeat == RetryPolicy::Resumable;
+        let is_resumable = self.is_resumable();
         HedgeSettings {
             silence: limit.max(MIN_SILENCE_TIMEOUT),
             max_attempts: if is_resumable { route.attempts } else { 1 },
@@ -134,11 +141,11 @@
             };
             let mut hedge = Hedge::new(self.state.now(), settings, self.attempts);
             let assignment = source.slot.assignment.clone();
-            let last_event_id = self.events.last_id().or(self.exchange.meta.last_event_id);
-            let (stream, events) = (&mut source.stream, &mut self.events);
+            let last_event_id = self.position.last_id();
+            let (stream, position) = (&mut source.stream, &mut self.position);
             let mut broken = None;
             let first = async {
-                let read = stream.read(events).await;
+                let read = stream.read(position).await;
                 if let Err(cause) = &read {
                     broken = Some(cause.clone());
                 }
@@ -186,8 +193,8 @@
             target: "gateway", request = self.exchange.meta.id.as_str(),
             upstream = slot.upstream().as_str(), start = slot.assignment.epoch,
             digest = self.exchange.digest().to_string(),
-            parts = self.exchange.meta.shared_ids(), events = self.events.count(),
-            first_id = self.events.first_id(), last_id = self.events.last_id(),
+            parts = self.exchange.meta.shared_ids(), events = self.position.count(),
+            first_id = self.position.first_id(), last_id = self.position.last_id(),
             framing = framing.to_string(), ran_ms = slot.millis_since_assigned(), cause = cause;
             "Stream from the upstream was interrupted."
         );
@@ -195,13 +202,13 @@
             self.state.record_broken_answer(&self.exchange, &slot);
         }
         slot.release(outcome);
-        self.events.discard_partial();
+        self.position.begin_part();
     }
 
     fn resume_from(&mut self, source: Box<Source>) {
         log::info!(
             target: "gateway", request = self.exchange.meta.id.as_str(),
-            upstream = source.slot.upstream().as_str(), behind = self.events.last_id();
+            upstream = source.slot.upstream().as_str(), behind = self.position.last_id();
             "Stream resumed at another upstream."
         );
         self.source = Some(source);
@@ -211,8 +218,7 @@
     /// returns whether one was found.
     async fn fail_over(&mut self, cause: &str) -> bool {
         self.drop_source(AttemptOutcome::Aborted, cause);
-        let route = &self.exchange.route;
-        if route.repeat != RetryPolicy::Resumable {
+        if !self.is_resumable() {
             return false;
         }
         while self.attempts < self.exchange.route.attempts
@@ -246,7 +252,7 @@
         let id = self.exchange.meta.id.clone();
         let upstream = slot.upstream().clone();
         self.request.tried.push(upstream.clone());
-        let last_event_id = self.events.last_id().or(self.exchange.meta.last_event_id);
+        let last_event_id = self.position.last_id();
         let assignment = slot.assignment.clone();
         let settings = self.hedge_settings();
         let mut hedge = Hedge::new(self.state.now(), settings, self.attempts + 1);
@@ -306,8 +312,8 @@
         log::info!(
             target: "gateway", request = self.exchange.meta.id.as_str(),
             upstream = upstream, outcome = outcome, cause = cause,
-            events = self.events.count(), first_id = self.events.first_id(),
-            last_id = self.events.last_id(), framing = framing, took_ms = latency;
+            events = self.position.count(), first_id = self.position.first_id(),
+            last_id = self.position.last_id(), framing = framing, took_ms = latency;
             "Stream ended."
         );
     }
--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -1,7 +1,7 @@
-use crate::slots::Slot;
+use crate::{slots::Slot, stream_position::StreamPosition};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use sequoiawing_http::{BodyError, BodyFraming, ClientBody, SseSplitter};
+use sequoiawing_http::{BodyError, BodyFraming, ClientBody};
 use std::collections::VecDeque;
 
 /// The cause of a stream that ends inside an event.
@@ -43,40 +43,46 @@
     ///
     /// # Errors
     ///
-    /// Returns why the stream broke off.
-    pub(crate) async fn read(&mut self, events: &mut SseSplitter) -> Result<Option<Bytes>, String> {
+    /// Returns why the stream broke off, or why its next event may not be passed on.
+    pub(crate) async fn read(
+        &mut self,
+        position: &mut StreamPosition,
+    ) -> Result<Option<Bytes>, String> {
+        position.check().map_err(|error| error.to_string())?;
         loop {
             let part = match self.ahead.pop_front() {
                 Some(part) => part,
                 None => match self.receive().await {
-                    None if events.has_partial() => return Err(PARTIAL_EVENT.to_owned()),
+                    None if position.has_partial() => return Err(PARTIAL_EVENT.to_owned()),
                     None => return Ok(None),
                     Some(part) => part.map_err(|error| error.to_string())?,
                 },
             };
-            let complete = events.push(part).map_err(|error| error.to_string())?;
+            let complete = position.push(part).map_err(|error| error.to_string())?;
             if !complete.is_empty() {
                 return Ok(Some(complete));
             }
         }
     }
 
-    /// Reads ahead until the first complete event.
+    /// Reads ahead until the first complete event, which must follow the last one that
+    /// the caller has.
     ///
     /// # Errors
     ///
-    /// Returns why the stream broke off, or that it ended without an event.
-    pub(crate) async fn read_ahead(&mut self) -> Result<(), String> {
-        let mut events = SseSplitter::default();
+    /// Returns why the stream broke off, that it ended without an event, or why its event
+    /// may not be passed on.
+    pub(crate) async fn read_ahead(&mut self, last_event_id: Option<u64>) -> Result<(), String> {
+        let mut position = StreamPosition::new(last_event_id);
         while let Some(part) = self.receive().await {
             let part = part.map_err(|error| error.to_string())?;
             self.ahead.push_back(part.clone());
-            let complete = events.push(part).map_err(|error| error.to_string())?;
+            let complete = position.push(part).map_err(|error| error.to_string())?;
             if !complete.is_empty() {
                 return Ok(());
             }
         }
-        let cause = if events.has_partial() {
+        let cause = if position.has_partial() {
             PARTIAL_EVENT
         } else {
             NO_EVENT
--- /dev/null
+++ b/crates/sequoiawing_gateway/src/stream_position.rs
@@ -0,0 +1,163 @@
+//! What a caller has of a stream, which decides what may be passed on next.
+
+#[cfg(test)]
+mod tests;
+
+use bytes::Bytes;
+use sequoiawing_http::{EventId, EventTooLong, SseEvent, SseSplitter, complete_events};
+use thiserror::Error;
+
+/// Why an event may not be passed on.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub(crate) enum EventError {
+    /// It is too long.
+    #[error(transparent)]
+    TooLong(#[from] EventTooLong),
+    /// It is not the one after the last.
+    #[error("event {id} came behind event {last}")]
+    OutOfOrder {
+        /// The ID of the last event that was passed on.
+        last: u64,
+        /// The ID of the event.
+        id: u64,
+    },
+    /// Its ID is no number, unlike those of the events before.
+    #[error("an event without a numeric ID came behind event {last}")]
+    NotNumbered {
+        /// The ID of the last event that was passed on.
+        last: u64,
+    },
+}
+
+/// How the events of a stream are numbered.
+#[derive(Clone, Copy, Debug)]
+enum Numbering {
+    /// No event is known.
+    Unknown,
+    /// The caller has the events up to this ID.
+    Numeric(u64),
+    /// The IDs are no numbers, so that the stream cannot be resumed.
+    Absent,
+}
+
+/// The position of a caller in a stream of events.
+///
+/// Complete events are passed on if they follow the last one. The upstream of an event
+/// that does not follow is to be replaced: it began anew, or lost or repeated a part.
+#[derive(Debug)]
+pub(crate) struct StreamPosition {
+    splitter: SseSplitter,
+    numbering: Numbering,
+    /// The number of events that were passed on.
+    count: u64,
+    /// The ID of the first event of the current upstream.
+    first_id: Option<u64>,
+    /// Why the current upstream must send nothing more.
+    error: Option<EventError>,
+}
+
+impl StreamPosition {
+    /// Creates the position of a caller that has the events up to `last_event_id`, if
+    /// any.
+    pub(crate) fn new(last_event_id: Option<u64>) -> Self {
+        Self {
+            splitter: SseSplitter::default(),
+            numbering: last_event_id.map_or(Numbering::Unknown, Numbering::Numeric),
+            count: 0,
+            first_id: None,
+            error: None,
+        }
+    }
+
+    /// Appends a part of the upstream's stream and returns the events that may be passed
+    /// on now. An error that is due behind them is returned by the next call of
+    /// [`check`](Self::check).
+    ///
+    /// # Errors
+    ///
+    /// Returns why the next event may not be passed on, if none may be before it.
+    pub(crate) fn push(&mut self, part: Bytes) -> Result<Bytes, EventError> {
+        let mut complete = self.splitter.push(part)?;
+        let mut accepted = 0;
+        for event in complete_events(&complete) {
+            if let Err(error) = self.accept(event) {
+                self.error = Some(error);
+                break;
+            }
+            accepted += event.len();
+        }
+        complete.truncate(accepted);
+        if complete.is_empty() {
+            self.check()?;
+        }
+        Ok(complete)
+    }
+
+    /// Checks that the upstream has sent nothing that may not be passed on.
+    ///
+    /// # Errors
+    ///
+    /// Returns why an event may not be passed on.
+    pub(crate) fn check(&self) -> Result<(), EventError> {
+        self.error.map_or(Ok(()), Err)
+    }
+
+    fn accept(&mut self, event: SseEvent<'_>) -> Result<(), EventError> {
+        if event.is_comment() {
+            return Ok(());
+        }
+        let id = event.id();
+        match (self.numbering, id) {
+            (Numbering::Numeric(last), EventId::Number(id)) if last.checked_add(1) != Some(id) => {
+                return Err(EventError::OutOfOrder { last, id });
+            }
+            (Numbering::Numeric(last), EventId::Missing | EventId::Text) if !event.is_done() => {
+                return Err(EventError::NotNumbered { last });
+            }
+            (Numbering::Unknown | Numbering::Numeric(_), EventId::Number(id)) => {
+                self.numbering = Numbering::Numeric(id);
+                self.first_id = self.first_id.or(Some(id));
+            }
+            (Numbering::Unknown, _) => self.numbering = Numbering::Absent,
+            (Numbering::Numeric(_) | Numbering::Absent, _) => {}
+        }
+        self.count += 1;
+        Ok(())
+    }
+
+    /// Begins the part of the next upstream. What the former one sent of an incomplete
+    /// event is discarded.
+    pub(crate) fn begin_part(&mut self) {
+        self.splitter.discard_partial();
+        self.first_id = None;
+        self.error = None;
+    }
+
+    /// Returns whether another upstream can go on behind the last event.
+    pub(crate) fn may_resume(&self) -> bool {
+        !matches!(self.numbering, Numbering::Absent)
+    }
+
+    /// Returns the ID of the last event that the caller has.
+    pub(crate) fn last_id(&self) -> Option<u64> {
+        match self.numbering {
+            Numbering::Numeric(id) => Some(id),
+            Numbering::Unknown | Numbering::Absent => None,
+        }
+    }
+
+    /// Returns the ID of the first event of the current upstream.
+    pub(crate) fn first_id(&self) -> Option<u64> {
+        self.first_id
+    }
+
+    /// Returns the number of events that were passed on.
+    pub(crate) fn count(&self) -> u64 {
+        self.count
+    }
+
+    /// Returns whether the upstream has sent a part of the next event.
+    pub(crate) fn has_partial(&self) -> bool {
+        self.splitter.has_partial()
+    }
+}
--- a/crates/sequoiawing_http/src/sse.rs
+++ b/crates/sequoiawing_http/src/sse.rs
@@ -14,7 +14,7 @@
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// An event of a stream did not end in time.
-#[derive(Clone, Copy, Debug, Error)]
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 #[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
 pub struct EventTooLong;
 
@@ -28,9 +28,6 @@
     partial: BytesMut,
     count: u64,
     is_done: bool,
-    /// The `id` of the first event since the last call of `discard_partial`.
-    first_id: Option<u64>,
-    last_id: Option<u64>,
 }
 
 impl SseSplitter {
@@ -59,7 +56,6 @@
     /// the last complete event.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
-        self.first_id = None;
     }
 
     /// Returns the number of complete events.
@@ -67,16 +63,6 @@
         self.count
     }
 
-    /// Returns the `id` of the last complete event that has a numeric one.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
-    }
-
-    /// Returns the first numeric `id` since the stream was last resumed.
-    pub fn first_id(&self) -> Option<u64> {
-        self.first_id
-    }
-
     /// Returns whether bytes of an incomplete event are held back.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
@@ -95,23 +81,70 @@
     }
 
     fn scan(&mut self, complete: &[u8]) {
-        let mut rest = complete;
-        while let Some(end) = first_event_end(rest) {
+        for event in complete_events(complete) {
             self.count += 1;
-            self.is_done |= rest[..end].trim_ascii() == DONE_EVENT;
-            let id = parse_event_id(&rest[..end]);
-            self.first_id = self.first_id.or(id);
-            self.last_id = id.or(self.last_id);
-            rest = &rest[end..];
+            self.is_done |= event.is_done();
         }
     }
 }
 
-/// Returns the `id` field of an event if it is a number.
-fn parse_event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|b| *b == b'\n');
-    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    str::from_utf8(id.trim_ascii()).ok()?.parse().ok()
+/// The `id` field of an event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EventId {
+    /// The event has none.
+    Missing,
+    /// It is a number.
+    Number(u64),
+    /// It is no number.
+    Text,
+}
+
+/// A complete event, with the empty line that ends it.
+#[derive(Clone, Copy, Debug)]
+pub struct SseEvent<'a>(&'a [u8]);
+
+impl SseEvent<'_> {
+    /// Returns the length in bytes.
+    #[expect(
+        clippy::len_without_is_empty,
+        reason = "an event ends with an empty line"
+    )]
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns the last `id` field.
+    pub fn id(&self) -> EventId {
+        let mut lines = self.0.split(|b| *b == b'\n');
+        let Some(id) = lines.rfind(|line| line.starts_with(b"id:")) else {
+            return EventId::Missing;
+        };
+        let id = str::from_utf8(id[3..].trim_ascii()).ok();
+        id.and_then(|id| id.parse().ok())
+            .map_or(EventId::Text, EventId::Number)
+    }
+
+    /// Returns whether it consists of comments, with which servers keep connections
+    /// open.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.0.split(|b| *b == b'\n');
+        lines.all(|line| line.starts_with(b":") || line.trim_ascii().is_empty())
+    }
+
+    /// Returns whether it is the marker of a stream's end.
+    pub fn is_done(&self) -> bool {
+        self.0.trim_ascii() == DONE_EVENT
+    }
+}
+
+/// Returns the complete events at the beginning of `bytes`.
+pub fn complete_events(bytes: &[u8]) -> impl Iterator<Item = SseEvent<'_>> {
+    let mut rest = bytes;
+    std::iter::from_fn(move || {
+        let (event, behind) = rest.split_at(first_event_end(rest)?);
+        rest = behind;
+        Some(SseEvent(event))
+    })
 }
 
 /// Returns the length of the first event, including the empty line that ends it.
--- a/crates/sequoiawing_http/src/sse/tests.rs
+++ b/crates/sequoiawing_http/src/sse/tests.rs
@@ -1,4 +1,4 @@
-use super::SseSplitter;
+use super::{EventId, SseSplitter, complete_events};
 use bytes::Bytes;
 
 const STREAM: &[u8] = b"data: a\n\ndata: b\r\n\r\ndata: [DONE]\n\n";
@@ -46,8 +46,12 @@
         fn $name() {
             let mut splitter = SseSplitter::default();
             let complete = splitter.push(Bytes::from_static($stream));
-            complete.expect("the events are short");
-            assert_eq!(splitter.last_id(), $id);
+            let complete = complete.expect("the events are short");
+            let ids = complete_events(&complete).filter_map(|event| match event.id() {
+                EventId::Number(id) => Some(id),
+                EventId::Missing | EventId::Text => None,
+            });
+            assert_eq!(ids.last(), $id);
         }
     )*};
 }
@@ -57,6 +61,8 @@
     an_event_without_an_id_keeps_the_previous_one: b"id:7\r\ndata: a\r\n\r\ndata: b\n\n" => Some(7);
     the_id_may_follow_another_field: b"weight-versions:2\nid: 4\ndata: id: 9\n\n" => Some(4);
     a_stream_without_ids_has_none: b"data: a\n\n" => None;
+    an_id_that_is_no_number_is_none: b"id: 7f\ndata: a\n\n" => None;
+    the_last_id_of_an_event_counts: b"id: 7\nid: 8\n\n" => Some(8);
 }
 
 // Guards against a relay whose memory is used up by an event without end.
