The software version of upstreams and what a take-up resumes are known

Neither was read so far: `version` of a heartbeat and `Resumes` of a request were dropped at the border. `UpstreamState` gains `software`, which defaults to not known, as a process of an earlier build passes an announcement on without it. An upstream that names no version is a class of its own. A roster keeps the version of a start when a later announcement of the same start lacks it, which happens with an earlier build in between.

--- a/crates/sequoiawing_fleet/src/announcement.rs
+++ b/crates/sequoiawing_fleet/src/announcement.rs
@@ -34,6 +34,9 @@
     pub epoch: u64,
     /// Numbers the announcements within an epoch, so that late ones are dropped.
     pub sequence: u64,
+    /// The version of its software, empty if it names none; `None` if this is not known,
+    /// since a process of an earlier build has passed the announcement on.
+    pub software: Option<Name>,
     /// How long the announcement stays valid, in milliseconds.
     pub lifetime: u64,
     /// Whether the upstream is shutting down and accepts no new work.
--- a/crates/sequoiawing_fleet/src/publisher.rs
+++ b/crates/sequoiawing_fleet/src/publisher.rs
@@ -75,6 +75,7 @@
         kind: state.kind,
         address: state.address,
         epoch: state.epoch,
+        software: state.software.clone(),
         leaving: state.leaving,
         slots: state.slots,
         loaded: state.loaded.clone(),
--- a/crates/sequoiawing_fleet/src/roster.rs
+++ b/crates/sequoiawing_fleet/src/roster.rs
@@ -136,6 +136,7 @@
         if !known.is_none_or(is_newer) {
             return self.mark_gone(&name, &listed);
         }
+        let listed = with_known_software(known, listed);
         let is_same = known.is_some_and(|entry| is_equivalent(&entry.listed, &listed));
         let listed = self.resolve_address(listed);
         self.stamp += 1;
@@ -271,6 +272,19 @@
     }
 }
 
+/// Returns an entry with the software version that is known of the same start, if it has
+/// none because a process of an earlier build has passed it on.
+fn with_known_software(known: Option<&TrackedEntry>, mut listed: RosterEntry) -> RosterEntry {
+    let known = known.map(|entry| &entry.listed.state);
+    let known = known.filter(|state| state.epoch == listed.state.epoch);
+    if let Some(software) = known.and_then(|state| state.software.as_ref())
+        && listed.state.software.is_none()
+    {
+        Arc::make_mut(&mut listed.state).software = Some(software.clone());
+    }
+    listed
+}
+
 fn last_change(entry: Option<&TrackedEntry>) -> Option<u64> {
     entry.map(|e| e.changed)
 }
--- a/crates/sequoiawing_fleet/tests/roster.rs
+++ b/crates/sequoiawing_fleet/tests/roster.rs
@@ -41,6 +41,39 @@
     )*};
 }
 
+/// Returns the software version of the upstream `a` after announcements of the given
+/// epochs and versions.
+fn software_after(announced: &[(u64, Option<&str>)]) -> Option<Name> {
+    let mut roster = Roster::new(1);
+    for (sequence, (epoch, software)) in (1..).zip(announced) {
+        let state = UpstreamState {
+            software: software.map(Name::from),
+            ..state("a", *epoch, sequence, 10, false)
+        };
+        roster.announce(Time::ZERO, state);
+    }
+    roster.get(&Name::from("a"))?.software.clone()
+}
+
+macro_rules! software {
+    ($($name:ident: $announced:expr => $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(software_after(&$announced), $expected.map(Name::from));
+        }
+    )*};
+}
+
+// Guard against a software version that is lost or taken over when a process of an
+// earlier build passes an announcement on without it.
+software! {
+    the_software_version_of_a_start_is_kept: [(1, Some("v1")), (1, None)] => Some("v1");
+    the_software_version_of_a_start_is_learned_later: [(1, None), (1, Some("v1"))] => Some("v1");
+    a_new_start_does_not_take_over_a_software_version: [(1, Some("v1")), (2, None)] => None::<&str>;
+    a_new_start_may_have_another_software_version: [(1, Some("v1")), (2, Some("v2"))] => Some("v2");
+    a_version_that_is_not_named_replaces_none: [(1, None), (1, Some(""))] => Some("");
+}
+
 fn announce(roster: &mut Roster, state: &UpstreamState) {
     roster.announce(Time::ZERO, state.clone());
 }
--- a/crates/sequoiawing_gateway/src/dialect.rs
+++ b/crates/sequoiawing_gateway/src/dialect.rs
@@ -24,6 +24,9 @@
     pub parts: Arc<[PromptPart]>,
     /// The id of the last event that the caller received of the stream.
     pub last_event_id: Option<u64>,
+    /// The id of the caller's request that brought the first event of the stream that
+    /// this one takes up.
+    pub resumes: Option<Name>,
 }
 
 impl RequestMeta {
