Streams go on only at the software version that began them

Cause: the version of an upstream and what a take-up resumes were not known, so that no choice of an upstream could obey them.

A stream is bound to the version of its upstream with its first event; the balancer chooses only upstreams of that version for it, whoever asks. Gateways tell the hubs which version began which attempt, by digests, with their next report. A take-up is bound by the own record of the gateway or by what a hub knows; if none knows, it is refused at once (503, not run). Unknown versions match nothing but the same start of the same upstream.

--- a/crates/sequoiawing_gateway/src/filters/forward.rs
+++ b/crates/sequoiawing_gateway/src/filters/forward.rs
@@ -55,6 +55,7 @@
             ran: Ran::No,
         };
         self.state.check_quarantine(exchange)?;
+        progress.request.software = self.state.required_software(exchange).await?;
         let tokens = exchange.meta.total_tokens().unwrap_or_default();
         let event = DemandEvent::Requested { tokens };
         self.state.record_demand(&progress.request, event);
@@ -74,6 +75,8 @@
                 route = exchange.route.name.as_str(), version = exchange.index.version(),
                 model = exchange.model(), customer = exchange.customer(),
                 upstream = upstream.as_str(), load = slot.assignment.load,
+                software = slot.assignment.software.to_string(),
+                behind = exchange.meta.last_event_id,
                 missing = slot.assignment.uncached, attempt = progress.attempts + 1,
                 waited_ms = exchange.millis_since_arrival(self.state.now());
                 "Sending request to an upstream."
--- a/crates/sequoiawing_gateway/src/hub_sync.rs
+++ b/crates/sequoiawing_gateway/src/hub_sync.rs
@@ -109,6 +109,10 @@
     cursor: Cursor,
     /// The change counter of the hub's last response.
     seen: u64,
+    /// Identifies the run of the hub process.
+    epoch: u64,
+    /// The stamp of the last stream that the hub has been told of.
+    streams: u64,
 }
 
 impl HubSession {
@@ -162,6 +166,7 @@
         let lost = state.connector.lost();
         let sync_position = *self.sync_position.lock();
         let skips_roster = !is_primary && state.hubs.lock().has_fresh_primary(state.now());
+        let (last_stream, streams) = state.origins.report(sync_position.streams);
         let report = GatewayReport {
             host: state.settings.host.clone(),
             incarnation: state.incarnation,
@@ -177,6 +182,7 @@
             skips_roster,
             quarantine: state.quarantine.report(state.now()),
             tokens: state.report_limits(),
+            streams,
             seen: sync_position.seen,
             wait: u64::try_from(wait.as_millis()).unwrap_or_default(),
         };
@@ -193,6 +199,13 @@
         *self.sync_position.lock() = SyncPosition {
             cursor: update.roster.cursor,
             seen: update.seen,
+            epoch: update.epoch,
+            // A hub that has started anew knows only what this report told.
+            streams: if [0, update.epoch].contains(&sync_position.epoch) {
+                last_stream
+            } else {
+                0
+            },
         };
         self.update_hub(update.facts.clone());
         state.apply_hub_update(self.hub, update, &usage, &lost);
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod slots;
 mod source;
 mod state;
+mod stream_origins;
 mod tunnels;
 mod upstream_connector;
 mod upstream_limits;
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -100,6 +100,11 @@
     fn record_first_event(&mut self) {
         let has_begun = std::mem::replace(&mut self.has_begun, true);
         let source = self.source.as_ref();
+        if let Some(source) = source.filter(|_| !has_begun) {
+            let assignment = &source.slot.assignment;
+            self.state
+                .bind_stream(&self.exchange, &mut self.request, assignment);
+        }
         if let Some(source) = source.filter(|_| !has_begun && self.attempts <= 1) {
             let (exchange, request) = (&self.exchange, &self.request);
             self.state
@@ -198,7 +203,8 @@
     fn resume_from(&mut self, source: Box<Source>) {
         log::info!(
             target: "gateway", request = self.exchange.meta.id.as_str(),
-            upstream = source.slot.upstream().as_str(), behind = self.events.last_id();
+            upstream = source.slot.upstream().as_str(), behind = self.events.last_id(),
+            software = source.slot.assignment.software.to_string();
             "Stream resumed at another upstream."
         );
         self.source = Some(source);
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -162,7 +162,11 @@
                 PickResult::Limited(retry) => self.wait_for_token(request, retry),
                 PickResult::NotLoaded => self.wait_for_model(request),
                 PickResult::NoUpstream => {
-                    let problem = "no upstream of the pool is known";
+                    let problem = if request.software.is_some() {
+                        "no upstream of the software version that began the stream is known"
+                    } else {
+                        "no upstream of the pool is known"
+                    };
                     let refused =
                         Refused::new(Code::NoUpstream, problem).with_retry_after(NO_UPSTREAM_RETRY);
                     (self.capacity_deadline(), refused)
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -4,6 +4,7 @@
     quarantine::QuarantineState,
     response_body::BodyBuffers,
     slots::Slot,
+    stream_origins::OriginRecords,
     upstream_connector::UpstreamConnector,
 };
 use arc_swap::ArcSwap;
@@ -118,6 +119,7 @@
     pub(crate) open_tunnels: AtomicUsize,
     pub(crate) isolation: Mutex<IsolationDetector>,
     pub(crate) quarantine: QuarantineState,
+    pub(crate) origins: OriginRecords,
     /// The buffered bodies of upstreams' responses.
     pub(crate) bodies: BodyBuffers,
 }
@@ -165,6 +167,7 @@
             open_tunnels: AtomicUsize::new(0),
             isolation: Mutex::default(),
             quarantine: QuarantineState::new(rand::random()),
+            origins: OriginRecords::default(),
             bodies: BodyBuffers::default(),
         }
     }
@@ -561,6 +564,7 @@
             log::info!(
                 target: "gateway", upstream = item.state.name.as_str(),
                 gone = item.gone, leaving = item.state.leaving,
+                software = item.state.software.as_ref().map(Name::as_str),
                 models = item.state.loaded.len(), sequence = item.state.sequence;
                 "Upstream changed."
             );
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -16,6 +16,7 @@
     MirrorRequest, ModelDemand, OrderedEvictions, OrderedLoads, QuarantineReport, Secret, Stub,
     SyncReply, connection_handler,
 };
+use sequoiawing_policy::serving::StreamOrigins;
 use sequoiawing_runtime::{Clock, Shutdown, Watch, sleep, spawn, timeout};
 use sequoiawing_tables::{Command, Outcome};
 use sequoiawing_types::{Name, Time};
@@ -101,6 +102,8 @@
     pub(crate) limits: Mutex<UpstreamLimits>,
     /// Counts changes of the tokens granted to gateways.
     pub(crate) grants: Watch<u64>,
+    /// The software versions that began the streams of gateways.
+    pub(crate) streams: Mutex<StreamOrigins>,
     stubs: Mutex<HashMap<IpAddr, Stub<HubClient>>>,
 }
 
@@ -163,6 +166,7 @@
         let gateway = (&report.host, report.incarnation);
         self.record_quarantine(gateway, Duration::ZERO, &report.quarantine);
         self.record_tokens(gateway, Duration::ZERO, &report.tokens);
+        self.record_origins(&report.streams);
     }
 
     /// Records what a gateway knew of crashed upstreams `age` ago.
@@ -325,6 +329,7 @@
             "ordered": self.ordered_loads(self.now()),
             "evictions": self.evictions(self.now()),
             "quarantine": self.poison.lock().dump(self.now()),
+            "streams": self.streams.lock().len(),
             "version": self.handle.tables().catalog.version,
         })
     }
@@ -387,6 +392,7 @@
             poison_reported: Event::new(),
             limits: Mutex::default(),
             grants: Watch::default(),
+            streams: Mutex::default(),
             stubs: Mutex::default(),
         });
         let service = HubService {
@@ -461,7 +467,7 @@
         if changed {
             log::info!(
                 target: "hub", upstream = name.as_str(), leaving = leaving,
-                start = version.0, sequence = version.1, loaded = join_names(&state.loaded),
+                software = state.software.as_ref().map(Name::as_str), start = version.0, sequence = version.1, loaded = join_names(&state.loaded),
                 disk = state.disk.len(), memory = state.cached.len();
                 "Upstream announced a change."
             );
--- a/crates/sequoiawing_hub/src/lib.rs
+++ b/crates/sequoiawing_hub/src/lib.rs
@@ -17,6 +17,7 @@
 mod poison;
 mod relay;
 mod service;
+mod stream_origins;
 mod upstream_limits;
 
 pub use aggregation::{DemandDeduplicator, UsageAggregator};
--- a/crates/sequoiawing_hub/src/service.rs
+++ b/crates/sequoiawing_hub/src/service.rs
@@ -2,7 +2,7 @@
 use sequoiawing_catalog::Document;
 use sequoiawing_link::{
     Context, ControlError, GatewayReport, Hub, HubInfo, LoadRequest, MirrorReply, MirrorRequest,
-    ModelDemand, OrderedLoads, SyncReply,
+    ModelDemand, OrderedLoads, StreamOrigin, SyncReply,
 };
 use std::sync::Arc;
 
@@ -44,4 +44,8 @@
     async fn dump(self, _: Context) -> String {
         self.state.dump().to_string()
     }
+
+    async fn stream_origins(self, _: Context, attempts: Vec<u64>) -> Vec<StreamOrigin> {
+        self.state.find_origins(&attempts)
+    }
 }
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -1,4 +1,6 @@
-use crate::{ControlError, LimitUpdate, QuarantineReport, QuarantineUpdate, TokenUse};
+use crate::{
+    ControlError, LimitUpdate, QuarantineReport, QuarantineUpdate, StreamOrigin, TokenUse,
+};
 use sequoiawing_catalog::{Catalog, Document};
 use sequoiawing_fleet::{Cursor, RosterUpdate};
 use sequoiawing_types::Name;
@@ -88,6 +90,8 @@
     pub quarantine: QuarantineReport,
     /// The limited upstreams, with the gateway's tokens.
     pub tokens: Vec<TokenUse>,
+    /// The streams that began since the gateway's last report to this hub.
+    pub streams: Vec<StreamOrigin>,
     /// The value of `seen` in the hub's last reply.
     pub seen: u64,
     /// The maximum time to wait for changes before replying, in milliseconds.
@@ -305,4 +309,7 @@
     async fn document() -> Result<Document, ControlError>;
     /// Returns the whole state as JSON, without secrets.
     async fn dump() -> String;
+    /// Returns the known software versions that began the streams of callers' attempts,
+    /// by their digests.
+    async fn stream_origins(attempts: Vec<u64>) -> Vec<StreamOrigin>;
 }
--- a/crates/sequoiawing_link/src/lib.rs
+++ b/crates/sequoiawing_link/src/lib.rs
@@ -15,6 +15,7 @@
 mod peer;
 mod quarantine;
 mod serve;
+mod stream_origin;
 mod stub;
 mod translation;
 mod tunnel;
@@ -40,6 +41,7 @@
 pub use serve::{
     Connection, ConnectionHandler, LinkListener, Transport, server_channel, spawn_call,
 };
+pub use stream_origin::StreamOrigin;
 pub use stub::{Connect, Stub};
 pub use translation::{Translation, Translations};
 pub use tunnel::{TunnelError, TunnelRequest, TunnelStatus, open_tunnel};
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -1,5 +1,6 @@
 use super::{
-    HostLimitReport, PrefixAffinity, PromptPart, ReportedLoad, ToldLimit, upstream::Upstream,
+    HostLimitReport, PrefixAffinity, PromptPart, ReportedLoad, SoftwareVersion, ToldLimit,
+    upstream::Upstream,
 };
 use sequoiawing_fleet::{RosterEntry, UpstreamState};
 use sequoiawing_types::{Name, RequestRate, Time};
@@ -49,6 +50,8 @@
     pub seed: u64,
     /// The upstreams that the request was already sent to.
     pub tried: Vec<Name>,
+    /// The software version that may serve it; `None` if any may.
+    pub software: Option<SoftwareVersion>,
     /// Whether it was refused before and waits. It then counts as no new demand.
     pub is_waiting: bool,
 }
@@ -64,6 +67,8 @@
     pub address: SocketAddr,
     /// The epoch of the upstream.
     pub epoch: u64,
+    /// The version of its software.
+    pub software: SoftwareVersion,
     /// The estimated number of requests at the upstream before this one.
     pub load: u32,
     /// The estimated number of prompt tokens that are not cached at the
@@ -84,7 +89,8 @@
     Limited(Duration),
     /// No reachable upstream has loaded the model or adapter.
     NotLoaded,
-    /// The pool has no known upstream.
+    /// The pool has no known upstream, or none of the software version that the request
+    /// needs.
     NoUpstream,
 }
 
@@ -302,6 +308,10 @@
             if state.leaving || (upstream.is_silent && !all_silent) {
                 continue;
             }
+            let needed = request.software.as_ref();
+            if needed.is_some_and(|software| !software.is_of(state)) {
+                continue;
+            }
             has_upstream = true;
             if !self.can_serve(now, state, request) || request.tried.contains(&state.name) {
                 continue;
@@ -393,6 +403,7 @@
             name: upstream.state.name.clone(),
             address,
             epoch: upstream.state.epoch,
+            software: SoftwareVersion::of(&upstream.state),
             load: upstream.load(now),
             uncached: upstream.prefixes.uncached(&request.parts),
         };
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -16,6 +16,8 @@
 mod quarantine;
 mod retry_window;
 mod shared_bucket;
+mod software;
+mod stream_origins;
 mod tunnel;
 mod upstream;
 mod upstream_limit;
@@ -38,6 +40,8 @@
 };
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use shared_bucket::{PeerView, SharedTokenBucket};
+pub use software::SoftwareVersion;
+pub use stream_origins::StreamOrigins;
 pub use tunnel::{
     PathSettings, TunnelCandidate, TunnelHost, UpstreamPaths, Via, choose_tunnel_hosts,
 };
