--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod slots;
 mod source;
 mod state;
+mod stream_origins;
 mod stream_position;
 mod tunnels;
 mod upstream_connector;
