Tests of the soak's judge: each planted fault is seen

Deadlines are judged only between processes that were not disturbed.

Repeats come in greater number: plain services fail 60 percent while gateways start in series, and every fourth caller does not wait as long as refusals ask for.

--- a/tools/soak/src/caller.rs
+++ b/tools/soak/src/caller.rs
@@ -101,6 +101,8 @@
 pub(crate) struct Caller {
     shared: Arc<Callers>,
     kept: Option<(usize, Wire)>,
+    /// Whether it waits as long as refusals ask for.
+    is_patient: bool,
 }
 
 impl Callers {
@@ -126,8 +128,12 @@
 }
 
 impl Caller {
-    pub(crate) fn new(shared: Arc<Callers>) -> Self {
-        Self { shared, kept: None }
+    pub(crate) fn new(shared: Arc<Callers>, is_patient: bool) -> Self {
+        Self {
+            shared,
+            kept: None,
+            is_patient,
+        }
     }
 
     /// Sends requests until the run is over.
@@ -189,7 +195,8 @@
 
     async fn wait(&mut self, outcome: &Outcome) {
         self.kept = None;
-        let pause = outcome.pause.unwrap_or(0.1).clamp(0.0, 5.0);
+        let pause = outcome.pause.filter(|_| self.is_patient);
+        let pause = pause.unwrap_or(0.1).clamp(0.0, 5.0);
         sleep(Duration::from_secs_f64(pause)).await;
     }
 
--- a/tools/soak/src/judge.rs
+++ b/tools/soak/src/judge.rs
@@ -101,7 +101,7 @@
     arrived: HashMap<&'a str, Vec<usize>>,
     /// Text and runner of what runners made, by try.
     made: HashMap<&'a str, Vec<(&'a str, &'a str)>>,
-    /// When runners were killed, stopped or started.
+    /// When processes were killed, stopped or started.
     faults: Vec<(u64, &'a str)>,
 }
 
@@ -169,13 +169,19 @@
                 runner,
                 text,
             } => self.made.entry(attempt).or_default().push((text, runner)),
-            Record::Fault { at, runner, .. } => {
-                let runner = runner.as_deref();
-                self.faults.extend(runner.map(|r| (*at, r)));
+            Record::Fault { at, process, .. } => {
+                let process = process.as_deref();
+                self.faults.extend(process.map(|p| (*at, p)));
             }
         }
     }
 
+    /// Returns whether a process was killed, stopped or started from `from` to `to`.
+    fn is_disturbed(&self, process: &str, from: u64, to: u64) -> bool {
+        let mut faults = self.faults.iter();
+        faults.any(|(at, known)| *known == process && (from..=to).contains(at))
+    }
+
     /// Returns the arrivals of a try, in the order of time.
     fn arrivals_of(&self, attempt: &str) -> impl Iterator<Item = &Arrival<'a>> {
         let indices = self.arrived.get(attempt).into_iter().flatten();
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -85,16 +85,18 @@
     match random.random_range(0..12) {
         // Restarts in series while runners refuse: each start may take a new share.
         0 | 1 => {
-            let refusing = pick(random, size.runners, 0.8);
+            let refusing = pick(random, size.runners, 0.9);
             let mode = Mode {
-                refuse: 0.8,
+                errors: 0.6,
+                refuse: random.random_range(0.3..0.9),
                 twice: random.random_bool(0.3),
                 ..Mode::default()
             };
             add(at, Fault::Misbehave(refusing, Box::new(mode), 9_000));
-            let gateways = pick(random, size.gateways, 0.7);
-            for i in 0..random.random_range(2..5) {
-                let at = at + 1_000 + i * random.random_range(1_200..2_500);
+            let gateways = pick(random, size.gateways, 0.9);
+            let gap = random.random_range(1_200..2_500);
+            for i in 0..random.random_range(2..6) {
+                let at = at + 1_000 + i * gap;
                 add(at, Fault::KillGateways(gateways.clone()));
             }
         }
--- a/tools/soak/src/record.rs
+++ b/tools/soak/src/record.rs
@@ -118,7 +118,8 @@
         at: u64,
         /// What was done.
         what: String,
-        /// The incarnation of the runner that was killed, stopped or started, if it was one.
-        runner: Option<String>,
+        /// The process that was killed, stopped or started: the incarnation of a runner, or
+        /// `gateway-` and its index.
+        process: Option<String>,
     },
 }
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -50,6 +50,9 @@
 /// The time within which all processes serve.
 const START_LIMIT: Duration = Duration::from_mins(1);
 
+/// Every so many-th caller does not wait as long as refusals ask for.
+const IMPATIENT: usize = 4;
+
 /// The time between two lines of progress, in milliseconds.
 const PROGRESS: u64 = 10_000;
 
@@ -89,7 +92,7 @@
         spawn(watch(callers.clone(), i, deployment.ready(i))).detach();
     }
     let tasks: Vec<_> = (0..settings.callers)
-        .map(|_| spawn(Caller::new(callers.clone()).run()))
+        .map(|i| spawn(Caller::new(callers.clone(), !i.is_multiple_of(IMPATIENT)).run()))
         .collect();
     let faults = inject(settings, &deployment, &callers).await;
     callers.is_over.store(true, Ordering::Relaxed);
@@ -199,21 +202,23 @@
 }
 
 async fn apply(deployment: Arc<Deployment>, callers: Arc<Callers>, fault: Fault) {
-    let note = |runner: Option<String>| {
+    let note = |process: Option<String>| {
         callers.note(Record::Fault {
             at: now_ms(),
             what: fault.to_string(),
-            runner,
+            process,
         });
     };
     note(None);
     match &fault {
         Fault::KillGateways(indices) => {
             for i in indices {
+                note(Some(gateway_name(*i)));
                 deployment.gateways[*i].lock().start().ok();
             }
         }
         Fault::TermGateway(i) => {
+            note(Some(gateway_name(*i)));
             let gateway = &deployment.gateways[*i];
             let starts = gateway.lock().starts();
             gateway.lock().signal(Signal::TERM);
@@ -224,9 +229,14 @@
             let mut gateway = gateway.lock();
             if gateway.starts() == starts {
                 gateway.start().ok();
+                note(Some(gateway_name(*i)));
             }
         }
-        Fault::StopGateway(i, pause) => pause_process(&deployment.gateways[*i], *pause).await,
+        Fault::StopGateway(i, pause) => {
+            note(Some(gateway_name(*i)));
+            pause_process(&deployment.gateways[*i], *pause).await;
+            note(Some(gateway_name(*i)));
+        }
         Fault::StopController(i, pause) => {
             pause_process(&deployment.controllers[*i], *pause).await;
         }
@@ -266,6 +276,11 @@
     }
 }
 
+/// Returns the name of a gateway in records.
+fn gateway_name(i: usize) -> String {
+    format!("gateway-{i}")
+}
+
 async fn pause_process(process: &Mutex<crate::processes::Process>, pause: u64) {
     process.lock().signal(Signal::STOP);
     sleep(Duration::from_millis(pause)).await;
--- a/tools/soak/src/runner/requests.rs
+++ b/tools/soak/src/runner/requests.rs
@@ -23,6 +23,8 @@
 
 /// A request that a runner read.
 struct Request {
+    /// When its head was read, in milliseconds.
+    at: u64,
     head: Head,
     attempt: String,
     body: Vec<u8>,
@@ -57,12 +59,14 @@
 /// Serves a request; returns whether the connection may be used again.
 async fn serve_next(runner: &Arc<Runner>, wire: &mut Wire) -> io::Result<bool> {
     let head = wire.read_head().await?;
+    let at = now_ms();
     let body = wire.read_body(head.request_framing()).await?;
     while runner.mode().silent {
         sleep(Duration::from_millis(50)).await;
     }
     let request = Request {
         attempt: head.get("attempt-id").unwrap_or_default().to_owned(),
+        at,
         head,
         body,
     };
@@ -179,7 +183,7 @@
     let number = |name| request.head.get(name).and_then(|v| v.parse().ok());
     let settings = &runner.settings;
     runner.note(&Record::Arrival {
-        at: now_ms(),
+        at: request.at,
         attempt: request.attempt.clone(),
         service: settings.service.clone(),
         runner: settings.id.clone(),
