--- a/crates/sequoiawing_bench/src/fakes/runner.rs
+++ b/crates/sequoiawing_bench/src/fakes/runner.rs
@@ -194,6 +194,7 @@
             name: self.spec.name.clone(),
             pool: self.spec.pool.clone(),
             centre: self.spec.centre.clone(),
+            software: None,
             kind: UpstreamKind::Runner,
             address: None,
             epoch: self.epoch,
