Send no request where one with its ID was refused

What callers saw: 503 'not run, try again' for a stream that a runner had run, and was running; sent again elsewhere, it would have run twice (REFUSED, TWICE). Cause: a refusal was told from those of other requests by the echoed ID alone. Callers choose IDs and may use one twice, streams that may not be resumed go over kept connections, and a refusal left its connection in the pool: a second sending with the ID could get the copy of the first one's refusal. Evidence, on the code before: repeated_refusals::a_copy_for_the_same_id_is_not_believed, 'ClientResponse { status: 503, .. "the upstream is full", "ran":"no" } [Arrival { connection: 0, ran: false }, Arrival { connection: 0, ran: true }]'; the same with 429 and 421. Why the fix works: a connection remembers the IDs that were refused on it, and no request with one of them is sent there again, so that a refusal with the ID of a request is the first one on its connection. It costs a new connection only where an ID is used twice, and one for each 64 refusals on a connection, which is then closed. Weighed: no reuse after a refusal, or new connections for these streams, cost a connection for each refusal or stream; bytes that wait in the socket show only copies that come early.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -111,7 +111,8 @@
     let sent = if repeat == RetryPolicy::Once {
         state.client.send_on_new_connection(address, request).await
     } else {
-        state.client.send(address, request).await
+        let id = exchange.meta.id.as_str();
+        state.client.send_with_id(address, request, id).await
     };
     let response = sent.map_err(|error| match error {
         ClientError::NotSent(cause) => AttemptError::NotSent(cause),
@@ -120,7 +121,7 @@
             AttemptError::MayHaveRun(error.to_string())
         }
     })?;
-    let (parts, body) = response.into_parts();
+    let (parts, mut body) = response.into_parts();
     let head = state.dialect.classify(
         &exchange.meta,
         slot.upstream(),
@@ -144,6 +145,7 @@
             ));
         }
         kind => {
+            body.record_refusal(exchange.meta.id.as_str());
             drain(body);
             return Err(AttemptError::NotRun(kind));
         }
--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -1,6 +1,6 @@
 use crate::{
     Body, BodyError, Connection, Connector, DirectConnector,
-    idle_pool::{IdlePool, keep_alive_timeout},
+    idle_pool::{IdlePool, Refusals, keep_alive_timeout},
     socket::Socket,
     tunnel::TunnelSocket,
 };
@@ -94,11 +94,37 @@
         &self,
         address: SocketAddr,
         request: Request<Body>,
+    ) -> Result<Response<ClientBody>, ClientError> {
+        self.send_reusing(address, request, None).await
+    }
+
+    /// Sends a request like [`send`](Self::send), but on no connection on which a request
+    /// with the same ID was refused; see [`ClientBody::record_refusal`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether any part of the request was sent.
+    pub async fn send_with_id(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        id: &str,
+    ) -> Result<Response<ClientBody>, ClientError> {
+        self.send_reusing(address, request, Some(id)).await
+    }
+
+    async fn send_reusing(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        id: Option<&str>,
     ) -> Result<Response<ClientBody>, ClientError> {
         let mut request = request;
-        while let Some(mut sender) = self.idle_pool.take(address) {
+        while let Some((mut sender, refusals)) = self.idle_pool.take(address, id) {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.attach_connection(address, sender, response)),
+                Ok(response) => {
+                    return Ok(self.attach_connection(address, sender, refusals, response));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(reuse_error(&error.into_error())),
@@ -125,7 +151,9 @@
     ) -> Result<Response<ClientBody>, ClientError> {
         let mut sender = self.connect(address).await?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.attach_connection(address, sender, response)),
+            Ok(response) => {
+                Ok(self.attach_connection(address, sender, Refusals::default(), response))
+            }
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let cause = error.into_error().to_string();
@@ -163,6 +191,7 @@
         &self,
         address: SocketAddr,
         sender: SendRequest<Body>,
+        refusals: Refusals,
         response: Response<Incoming>,
     ) -> Response<ClientBody> {
         let mut response = response;
@@ -176,6 +205,7 @@
                 idle_pool,
                 address,
                 sender,
+                refusals,
                 keep_alive,
             });
             ClientBody { body, connection }
@@ -207,13 +237,14 @@
     idle_pool: Arc<IdlePool>,
     address: SocketAddr,
     sender: SendRequest<Body>,
+    refusals: Refusals,
     keep_alive: Option<Duration>,
 }
 
 impl ReusableConnection {
     fn return_to_pool(self) {
         self.idle_pool
-            .put(self.address, self.sender, self.keep_alive);
+            .put(self.address, self.sender, self.refusals, self.keep_alive);
     }
 }
 
@@ -230,6 +261,16 @@
     pub fn discard(mut self) {
         self.connection = None;
     }
+
+    /// Records that this is the response to a request with this ID, and refuses it.
+    ///
+    /// A faulty server may send the refusal once more, and the ID alone does not tell the
+    /// copy from the response to another sending.
+    pub fn record_refusal(&mut self, id: &str) {
+        if let Some(connection) = &mut self.connection {
+            connection.refusals.record(id);
+        }
+    }
 }
 
 impl std::fmt::Debug for Client {
