--- a/crates/sequoiawing_link/src/lib.rs
+++ b/crates/sequoiawing_link/src/lib.rs
@@ -3,7 +3,7 @@
 //! Calls use `tarpc` over TCP. Before the first call, both peers prove that they
 //! know the deployment's secret; see
 //! [docs/SECURITY.md](../../../docs/SECURITY.md). Processes of the same
-//! release use a binary [`Format`], processes of different releases JSON.
+//! build use a binary [`Format`], processes of different builds JSON.
 
 mod budget;
 mod codec;
@@ -15,6 +15,7 @@
 mod peer;
 mod quarantine;
 mod serve;
+mod stream_origin;
 mod stub;
 mod translation;
 mod tunnel;
@@ -40,6 +41,7 @@
 pub use serve::{
     Connection, ConnectionHandler, LinkListener, Transport, server_channel, spawn_call,
 };
+pub use stream_origin::StreamOrigin;
 pub use stub::{Connect, Stub};
 pub use translation::{Translation, Translations};
 pub use tunnel::{TunnelError, TunnelRequest, TunnelStatus, open_tunnel};
