--- a/tests/requests/joins.rs
+++ b/tests/requests/joins.rs
@@ -29,12 +29,21 @@
     Trailer,
     /// It is killed within an event.
     InEvent,
+    /// It writes an error, head and body, in place of the next event.
+    Error,
+    /// It is killed, and has sent comments that keep the connection open.
+    AfterComments,
 }
 
 fn event(number: u64) -> String {
     format!("data: {{\"text\":\"w{number}\"}}\n\n")
 }
 
+/// Returns an event with an ID, which counts from one.
+fn numbered(number: u64) -> String {
+    format!("id: {}\n{}", number + 1, event(number))
+}
+
 fn chunk(data: &str) -> String {
     format!("{:x}\r\n{data}\r\n", data.len())
 }
@@ -49,6 +58,11 @@
     let events: String = (0..SENT).map(|n| chunk(&event(n))).collect();
     let last = match ending {
         Ending::Closed => String::new(),
+        Ending::AfterComments => chunk(": wait\n\n:\n\n"),
+        Ending::Error => chunk(&format!(
+            "HTTP/1.1 500 Internal Server Error\r\ncontent-length: {}\r\n\r\n{ERROR}\n\n",
+            ERROR.len()
+        )),
         Ending::LastChunk => "0\r\n\r\n".to_owned(),
         Ending::Trailer => "0\r\nx-served-by: one\r\n\r\n".to_owned(),
         Ending::InEvent => chunk("data: {\"text\":\"half"),
@@ -169,6 +183,7 @@
     a_stream_with_an_early_last_chunk_is_resumed: LastChunk;
     a_stream_with_an_early_trailer_is_resumed: Trailer;
     a_stream_that_is_cut_in_an_event_is_resumed: InEvent;
+    a_stream_that_holds_an_error_is_resumed: Error;
 }
 
 endings! { assert_broken_off:
@@ -176,6 +191,7 @@
     a_stream_with_an_early_last_chunk_breaks_off: LastChunk;
     a_stream_with_an_early_trailer_breaks_off: Trailer;
     a_stream_that_is_cut_in_an_event_breaks_off_before_it: InEvent;
+    a_stream_that_holds_an_error_breaks_off_before_it: Error;
 }
 
 /// Defines a case for each answer to a resumption.
@@ -228,7 +244,52 @@
     bytes_that_are_no_answer_are_not_joined: |_| vec![Step::Write("\u{16}no HTTP\r\n\r\n".to_owned()), Step::Close];
 }
 
+/// Asserts that a second upstream which goes on at another event than the next is
+/// replaced, where events are numbered.
+async fn assert_next_event(first: u64) {
+    let numbered_rest = |first: u64| -> String {
+        let events = (first..EVENTS).map(numbered);
+        events.chain(["data: [DONE]\n\n".to_owned()]).collect()
+    };
+    let (fleet, scripted) = start(move |received| {
+        let (events, end) = match received.number {
+            0 => ((0..SENT).map(numbered).collect(), ""),
+            1 => (numbered_rest(first), "0\r\n\r\n"),
+            _ => (numbered_rest(SENT), "0\r\n\r\n"),
+        };
+        answer(
+            received,
+            "200 OK",
+            &format!("{STREAM}{CHUNKED}"),
+            &format!("{}{end}", chunk(&events)),
+        )
+    })
+    .await;
+    let response = fleet.completion("/resumed", EVENTS).send().await;
+    let received = scripted.received();
+    assert_eq!(response.text(), numbered_rest(0), "{received:#?}");
+    assert_eq!(received.len(), 3, "{received:#?}");
+}
+
 cases! {
+    // Guard against events that come twice or are left out where a stream goes on.
+    a_rest_that_begins_anew_is_not_joined { assert_next_event(0).await; }
+    a_rest_that_repeats_an_event_is_not_joined { assert_next_event(SENT - 1).await; }
+    a_rest_that_leaves_an_event_out_is_not_joined { assert_next_event(SENT + 1).await; }
+
+    // Guards against an event that is left out where a stream goes on behind comments.
+    comments_are_not_counted_as_events {
+        let (fleet, scripted) = start(|received| match received.number {
+            0 => broken(received, Ending::AfterComments),
+            _ => resumed(received),
+        })
+        .await;
+        let response = fleet.completion("/resumed", EVENTS).send().await;
+        let received = scripted.received();
+        assert_eq!(received[1].header("sequoiawing-resume-offset"), SENT.to_string());
+        assert_eq!(response.text().replace(": wait\n\n:\n\n", ""), rest(0), "{received:#?}");
+    }
+
     // Guards against a resumption that is given up for an interim answer.
     a_stream_is_resumed_behind_an_interim_answer {
         let (fleet, scripted) = start(|received| {
