Relay only lines of events

What callers saw: the head and the text of an error in the middle of their stream, and two events left out where it went on behind them. Why the fix works: an event has only fields and comments; an upstream that writes anything else has left the stream, which goes on at another or breaks off before it. What is relayed is now counted event by event in Progress.

--- a/crates/sequoiawing_http/src/lib.rs
+++ b/crates/sequoiawing_http/src/lib.rs
@@ -21,5 +21,5 @@
 pub use framing::BodyFraming;
 pub use headers::remove_hop_headers;
 pub use listener::{Handler, HttpListener, HttpSettings};
-pub use sse::{EventId, EventTooLong, SseEvent, SseSplitter, complete_events, stream_end};
+pub use sse::{EventId, EventTooLong, SseEvent, SseSplitter, complete_events};
 pub use tunnel::run_tunnel;
--- a/crates/sequoiawing_http/src/sse.rs
+++ b/crates/sequoiawing_http/src/sse.rs
@@ -10,6 +10,9 @@
 /// The last event of a complete stream.
 const DONE_EVENT: &[u8] = b"data: [DONE]";
 
+/// The names of fields; a comment has none, nor has an empty line.
+const FIELDS: [&[u8]; 5] = [b"", b"data", b"event", b"id", b"retry"];
+
 /// The maximum length of an event, in bytes. Events hold some tokens of text.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
@@ -131,6 +134,15 @@
         lines.all(|line| line.starts_with(b":") || line.trim_ascii().is_empty())
     }
 
+    /// Returns whether all lines are fields of events or comments.
+    pub fn is_well_formed(&self) -> bool {
+        let mut lines = self.0.split(|b| *b == b'\n');
+        lines.all(|line| {
+            let name = line.split(|b| *b == b':').next().unwrap_or_default();
+            FIELDS.contains(&name.trim_ascii_end())
+        })
+    }
+
     /// Returns whether it is the marker of a stream's end.
     pub fn is_done(&self) -> bool {
         self.0.trim_ascii() == DONE_EVENT
@@ -162,17 +174,3 @@
     let crlf = memmem::rfind(bytes, b"\n\r\n").map_or(0, |i| i + 3);
     lf.max(crlf)
 }
-
-/// Returns the length of complete events up to the end of the last one of their stream,
-/// if it is among them.
-pub fn stream_end(events: &[u8]) -> Option<usize> {
-    let mut rest = events;
-    while let Some(end) = first_event_end(rest) {
-        let (event, behind) = rest.split_at(end);
-        if event.trim_ascii() == DONE_EVENT {
-            return Some(events.len() - behind.len());
-        }
-        rest = behind;
-    }
-    None
-}
--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -18,7 +18,8 @@
     http::response::Parts,
 };
 use sequoiawing_http::{
-    Body, BodyError, ClientBody, EventTooLong, SseSplitter, remove_hop_headers, stream_end,
+    Body, BodyError, ClientBody, EventTooLong, SseEvent, SseSplitter, complete_events,
+    remove_hop_headers,
 };
 use sequoiawing_runtime::sleep;
 use sequoiawing_types::{Name, Ran, Time};
@@ -108,6 +109,9 @@
     watchdog: Watchdog,
     /// Present for streams, whose end can be told from a truncation.
     events: Option<SseSplitter>,
+    progress: Progress,
+    /// Why the rest of the upstream's stream is not relayed.
+    problem: Option<&'static str>,
     resume: Option<Box<StreamResume>>,
     resuming: Option<ResumeFuture>,
     /// The error with which the body fails at the next poll.
@@ -154,6 +158,8 @@
             assignment: Some(assignment),
             watchdog,
             events: is_stream.then(SseSplitter::default),
+            progress: Progress::default(),
+            problem: None,
             resume,
             resuming: None,
             pending_error: None,
@@ -187,7 +193,7 @@
 
     /// Handles the end of the upstream's body, with or without an error.
     fn handle_end(&mut self, error: Option<BodyError>) -> Option<BodyError> {
-        if self.events.as_ref().is_some_and(SseSplitter::is_done) {
+        if self.progress.is_done {
             return None;
         }
         let is_truncated = self.events.is_some();
@@ -208,7 +214,7 @@
         let events = self.events.get_or_insert_default();
         events.discard_partial();
         let failed_upstream = self.assignment.take().map(|a| a.upstream.clone());
-        self.resuming = resume.start(events.count(), failed_upstream);
+        self.resuming = resume.start(self.progress.count, failed_upstream);
         self.resuming.is_some()
     }
 
@@ -241,13 +247,13 @@
         let Some(events) = &mut self.events else {
             return Ok(Some(chunk));
         };
-        if events.is_done() {
+        if self.progress.is_done {
             return Ok(None);
         }
         let mut complete = events.push(chunk)?;
-        if let Some(end) = stream_end(&complete) {
-            complete.truncate(end);
-        }
+        let (accepted, problem) = self.progress.accept(&complete);
+        self.problem = problem;
+        complete.truncate(accepted);
         Ok((!complete.is_empty()).then_some(complete))
     }
 }
@@ -267,7 +273,11 @@
             if let Err(error) = ready!(self.poll_resume(cx)) {
                 return self.defer_error(cx, error);
             }
-            let error = match ready!(self.poll_upstream(cx)) {
+            let polled = match self.problem.take() {
+                Some(problem) => Some(Err(problem.into())),
+                None => ready!(self.poll_upstream(cx)),
+            };
+            let error = match polled {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(chunk) => match self.process_chunk(chunk) {
                         Ok(Some(chunk)) => return Poll::Ready(Some(Ok(Frame::data(chunk)))),
@@ -301,6 +311,41 @@
     }
 }
 
+/// What the caller has received of a stream.
+#[derive(Debug, Default)]
+struct Progress {
+    /// The number of events.
+    count: u64,
+    /// Whether the last event has been received.
+    is_done: bool,
+}
+
+impl Progress {
+    /// Returns the length of the events that may be relayed, and why the next one may not.
+    fn accept(&mut self, events: &[u8]) -> (usize, Option<&'static str>) {
+        let mut accepted = 0;
+        for event in complete_events(events) {
+            if let Some(problem) = find_problem(event) {
+                return (accepted, Some(problem));
+            }
+            accepted += event.len();
+            self.count += 1;
+            if event.is_done() {
+                self.is_done = true;
+                break;
+            }
+        }
+        (accepted, None)
+    }
+}
+
+fn find_problem(event: SseEvent<'_>) -> Option<&'static str> {
+    if !event.is_well_formed() {
+        return Some("the upstream sent text that is no event");
+    }
+    None
+}
+
 /// The state for resuming an interrupted stream.
 struct StreamResume {
     sender: AttemptSender,
