Count no comments as events of a stream

What callers saw: events left out where a stream went on behind comments, with which upstreams keep connections open. Cause: the offset of a resumption counted whatever ends with an empty line. Evidence, on the code before: joins::comments_are_not_counted_as_events, offset 'left: "5", right: "3"'. Why the fix works: the next upstream knows the events alone, so they alone are counted; comments are relayed as before.

--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -314,7 +314,7 @@
 /// What the caller has received of a stream.
 #[derive(Debug, Default)]
 struct Progress {
-    /// The number of events.
+    /// The number of events, without comments.
     count: u64,
     /// Whether the last event has been received.
     is_done: bool,
@@ -329,6 +329,9 @@
                 return (accepted, Some(problem));
             }
             accepted += event.len();
+            if event.is_comment() {
+                continue;
+            }
             self.count += 1;
             if event.is_done() {
                 self.is_done = true;
