Go on with a numbered stream only at the next number

What callers saw: events twice, or left out, where a stream went on at an upstream that echoed the offset and began elsewhere. Cause: the offset in the head was believed, and the events were not looked at. Why the fix works: where the last event and the first one of the rest have numbers as IDs, the second must follow the first; if it does not, the rest is asked of the next upstream. Streams without numbers can't be checked so.

--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -18,7 +18,7 @@
     http::response::Parts,
 };
 use sequoiawing_http::{
-    Body, BodyError, ClientBody, EventTooLong, SseEvent, SseSplitter, complete_events,
+    Body, BodyError, ClientBody, EventId, EventTooLong, SseEvent, SseSplitter, complete_events,
     remove_hop_headers,
 };
 use sequoiawing_runtime::sleep;
@@ -213,6 +213,7 @@
         };
         let events = self.events.get_or_insert_default();
         events.discard_partial();
+        self.progress.is_resumed = true;
         let failed_upstream = self.assignment.take().map(|a| a.upstream.clone());
         self.resuming = resume.start(self.progress.count, failed_upstream);
         self.resuming.is_some()
@@ -316,6 +317,10 @@
 struct Progress {
     /// The number of events, without comments.
     count: u64,
+    /// The `id` of the last event that has a number.
+    last_id: Option<u64>,
+    /// Whether the next event is the first one of another upstream.
+    is_resumed: bool,
     /// Whether the last event has been received.
     is_done: bool,
 }
@@ -325,7 +330,7 @@
     fn accept(&mut self, events: &[u8]) -> (usize, Option<&'static str>) {
         let mut accepted = 0;
         for event in complete_events(events) {
-            if let Some(problem) = find_problem(event) {
+            if let Some(problem) = self.find_problem(event) {
                 return (accepted, Some(problem));
             }
             accepted += event.len();
@@ -333,6 +338,10 @@
                 continue;
             }
             self.count += 1;
+            self.is_resumed = false;
+            if let EventId::Number(id) = event.id() {
+                self.last_id = Some(id);
+            }
             if event.is_done() {
                 self.is_done = true;
                 break;
@@ -340,13 +349,19 @@
         }
         (accepted, None)
     }
-}
 
-fn find_problem(event: SseEvent<'_>) -> Option<&'static str> {
-    if !event.is_well_formed() {
-        return Some("the upstream sent text that is no event");
+    fn find_problem(&self, event: SseEvent<'_>) -> Option<&'static str> {
+        if !event.is_well_formed() {
+            return Some("the upstream sent text that is no event");
+        }
+        if self.is_resumed
+            && let (Some(last), EventId::Number(id)) = (self.last_id, event.id())
+            && last.checked_add(1) != Some(id)
+        {
+            return Some("the upstream did not go on at the next event");
+        }
+        None
     }
-    None
 }
 
 /// The state for resuming an interrupted stream.
