--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -125,7 +125,8 @@
             .send_prepared_on_new_connection(address, request, prepare)
             .await
     } else {
-        client.send_prepared(address, request, prepare).await
+        let id = Some(exchange.meta.id.as_str());
+        client.send_prepared(address, request, id, prepare).await
     };
     let response = sent.map_err(|error| match error {
         ClientError::NotSent(cause) => AttemptError::NotSent(cause),
@@ -134,7 +135,7 @@
             AttemptError::MayHaveRun(error.to_string())
         }
     })?;
-    let (parts, body) = response.into_parts();
+    let (parts, mut body) = response.into_parts();
     let head = state.dialect.classify(
         &exchange.meta,
         slot.upstream(),
@@ -158,6 +159,7 @@
             ));
         }
         kind => {
+            body.record_refusal(exchange.meta.id.as_str());
             drain(body);
             return Err(AttemptError::NotRun(kind));
         }
--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -1,6 +1,6 @@
 use crate::{
     Body, BodyError, Connection, Connector, DirectConnector,
-    idle_pool::{IdlePool, keep_alive_timeout},
+    idle_pool::{IdlePool, Refusals, keep_alive_timeout},
     socket::Socket,
     tunnel::TunnelSocket,
 };
@@ -95,12 +95,13 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<ClientBody>, ClientError> {
-        self.send_prepared(address, request, |_| {}).await
+        self.send_prepared(address, request, None, |_| {}).await
     }
 
-    /// Sends a request like [`Client::send`]. `prepare` sets what depends on the time,
-    /// such as a header with the time that is left; it is called when a connection is
-    /// open, again for each connection that turns out to be closed.
+    /// Sends a request like [`Client::send`], but on no connection on which a request with
+    /// the same `id` was refused; see [`ClientBody::record_refusal`]. `prepare` sets what
+    /// depends on the time, such as a header with the time that is left; it is called when
+    /// a connection is open, again for each connection that turns out to be closed.
     ///
     /// # Errors
     ///
@@ -109,16 +110,19 @@
         &self,
         address: SocketAddr,
         request: Request<Body>,
+        id: Option<&str>,
         prepare: P,
     ) -> Result<Response<ClientBody>, ClientError>
     where
         P: Fn(&mut Request<Body>),
     {
         let mut request = request;
-        while let Some(mut sender) = self.idle_pool.take(address) {
+        while let Some((mut sender, refusals)) = self.idle_pool.take(address, id) {
             prepare(&mut request);
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.attach_connection(address, sender, response)),
+                Ok(response) => {
+                    return Ok(self.attach_connection(address, sender, refusals, response));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(reuse_error(&error.into_error())),
@@ -167,7 +171,9 @@
         let mut sender = self.connect(address).await?;
         prepare(&mut request);
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.attach_connection(address, sender, response)),
+            Ok(response) => {
+                Ok(self.attach_connection(address, sender, Refusals::default(), response))
+            }
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let cause = error.into_error().to_string();
@@ -205,6 +211,7 @@
         &self,
         address: SocketAddr,
         sender: SendRequest<Body>,
+        refusals: Refusals,
         response: Response<Incoming>,
     ) -> Response<ClientBody> {
         let mut response = response;
@@ -218,6 +225,7 @@
                 idle_pool,
                 address,
                 sender,
+                refusals,
                 keep_alive,
             });
             ClientBody { body, connection }
@@ -249,13 +257,14 @@
     idle_pool: Arc<IdlePool>,
     address: SocketAddr,
     sender: SendRequest<Body>,
+    refusals: Refusals,
     keep_alive: Option<Duration>,
 }
 
 impl ReusableConnection {
     fn return_to_pool(self) {
         self.idle_pool
-            .put(self.address, self.sender, self.keep_alive);
+            .put(self.address, self.sender, self.refusals, self.keep_alive);
     }
 }
 
@@ -272,6 +281,16 @@
     pub fn discard(mut self) {
         self.connection = None;
     }
+
+    /// Records that this is the response to a request with this ID, and refuses it.
+    ///
+    /// A faulty server may send the refusal once more, and the ID alone does not tell the
+    /// copy from the response to another sending.
+    pub fn record_refusal(&mut self, id: &str) {
+        if let Some(connection) = &mut self.connection {
+            connection.refusals.record(id);
+        }
+    }
 }
 
 impl std::fmt::Debug for Client {
--- a/crates/sequoiawing_http/tests/prepared.rs
+++ b/crates/sequoiawing_http/tests/prepared.rs
@@ -78,7 +78,7 @@
         let request = hyper::Request::new(empty());
         let sent = run(timeout(Duration::from_secs(10), async {
             if pooled {
-                client.send_prepared(address, request, prepare).await
+                client.send_prepared(address, request, None, prepare).await
             } else {
                 client
                     .send_prepared_on_new_connection(address, request, prepare)
--- a/crates/sequoiawing_router/src/attempt.rs
+++ b/crates/sequoiawing_router/src/attempt.rs
@@ -279,7 +279,10 @@
             let sent = client.send_prepared_on_new_connection(address, build(), set_deadline);
             return Ok((sent.await?, false));
         }
-        match client.send_prepared(address, build(), set_deadline).await {
+        match client
+            .send_prepared(address, build(), None, set_deadline)
+            .await
+        {
             Err(ClientError::IdleClosed(_)) => {
                 let retried = client
                     .send_prepared_on_new_connection(address, build(), set_deadline)
