Go on with a stream only by an answer that is one

A stream had begun and broke off, and the next upstream answered with an error or with nothing: callers found its text in their stream, or a stream that ended as if it were complete.

Cause: on streaming routes any answer of 200 to 299 that the dialect accepts was relayed as events, whatever its type and status, and the end of its body was the end of the stream even if it had no event.

A stream now needs status 200 and the type of event streams, or none. Others are buffered: a first answer is passed on whole, a later one is a failed attempt. The end of a resumed stream counts only behind an event of the upstream that ended it.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -7,7 +7,7 @@
     source::{EventStream, Source},
 };
 use bytes::Bytes;
-use hyper::{Request, Response, Uri, http::response::Parts};
+use hyper::{Request, Response, StatusCode, Uri, header::CONTENT_TYPE, http::response::Parts};
 use sequoiawing_catalog::RetryPolicy;
 use sequoiawing_http::{Body, BodyFraming, ClientBody, ClientError, empty, from_bytes};
 use sequoiawing_policy::serving::AttemptOutcome;
@@ -36,7 +36,7 @@
     #[error("{0}")]
     MayHaveRun(String),
     /// The upstream answered a request that may be retried with an error.
-    #[error("status {}", .0.status)]
+    #[error("{}", describe_answer(.0))]
     ServerError(Box<Parts>, Bytes),
     /// The request's deadline passed; it may have run.
     #[error("the request's deadline has passed")]
@@ -92,6 +92,30 @@
     }
 }
 
+/// Returns whether the body behind a head consists of events. Upstreams may leave out
+/// its type.
+fn is_event_stream(parts: &Parts) -> bool {
+    if parts.status != StatusCode::OK {
+        return false;
+    }
+    let Some(content_type) = parts.headers.get(CONTENT_TYPE) else {
+        return true;
+    };
+    let mut fields = content_type.as_bytes().split(|b| *b == b';');
+    let essence = fields.next().unwrap_or_default().trim_ascii();
+    essence.eq_ignore_ascii_case(b"text/event-stream")
+}
+
+/// Describes an answer with which a stream cannot go on.
+pub(crate) fn describe_answer(parts: &Parts) -> String {
+    let content_type = parts.headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    match content_type {
+        Some(content_type) => format!("status {}, {content_type}", parts.status.as_u16()),
+        None => format!("status {}", parts.status.as_u16()),
+    }
+}
+
 enum Received {
     Stream(Parts, ClientBody),
     Buffered(Parts, Bytes),
@@ -148,7 +172,7 @@
             return Err(AttemptError::NotRun(kind));
         }
     }
-    if repeat.is_stream() && parts.status.is_success() {
+    if repeat.is_stream() && is_event_stream(&parts) {
         return Ok(Received::Stream(parts, body));
     }
     match state.bodies.read(body).await {
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     GatewayExchange, GatewayState,
-    attempt::{AttemptError, UpstreamResponse, send},
+    attempt::{AttemptError, UpstreamResponse, describe_answer, send},
     hedge::{Race, Winner},
     slots::{Slot, SlotSearch},
     source::Source,
@@ -175,7 +175,7 @@
                     self.resume_from(source);
                 }
                 Ok(Winner::Second(UpstreamResponse::Buffered(parts, _))) => {
-                    return Err(format!("status {}", parts.status));
+                    return Err(describe_answer(&parts));
                 }
                 Err(error) => return Err(error.first.to_string()),
             }
@@ -274,7 +274,7 @@
                     self.resume_from(source);
                     return true;
                 }
-                UpstreamResponse::Buffered(parts, _) => format!("status {}", parts.status),
+                UpstreamResponse::Buffered(parts, _) => describe_answer(&parts),
             },
             Err(error) => error.first.to_string(),
         };
--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -4,12 +4,6 @@
 use sequoiawing_http::{BodyError, BodyFraming, ClientBody};
 use std::collections::VecDeque;
 
-/// The cause of a stream that ends inside an event.
-const PARTIAL_EVENT: &str = "the stream ended within an event";
-
-/// The cause of a stream that ends before its first event.
-const NO_EVENT: &str = "the stream ended without an event";
-
 /// An event stream of an upstream, and the slot that it holds there.
 pub(crate) struct Source {
     pub(crate) stream: EventStream,
@@ -53,8 +47,10 @@
             let part = match self.ahead.pop_front() {
                 Some(part) => part,
                 None => match self.receive().await {
-                    None if position.has_partial() => return Err(PARTIAL_EVENT.to_owned()),
-                    None => return Ok(None),
+                    None => {
+                        position.check_end().map_err(|error| error.to_string())?;
+                        return Ok(None);
+                    }
                     Some(part) => part.map_err(|error| error.to_string())?,
                 },
             };
@@ -74,20 +70,16 @@
     /// may not be passed on.
     pub(crate) async fn read_ahead(&mut self, last_event_id: Option<u64>) -> Result<(), String> {
         let mut position = StreamPosition::new(last_event_id);
+        position.begin_part();
         while let Some(part) = self.receive().await {
             let part = part.map_err(|error| error.to_string())?;
             self.ahead.push_back(part.clone());
-            let complete = position.push(part).map_err(|error| error.to_string())?;
-            if !complete.is_empty() {
+            position.push(part).map_err(|error| error.to_string())?;
+            if position.count() > 0 {
                 return Ok(());
             }
         }
-        let cause = if position.has_partial() {
-            PARTIAL_EVENT
-        } else {
-            NO_EVENT
-        };
-        Err(cause.to_owned())
+        position.check_end().map_err(|error| error.to_string())
     }
 
     async fn receive(&mut self) -> Option<Result<Bytes, BodyError>> {
--- a/crates/sequoiawing_gateway/src/stream_position.rs
+++ b/crates/sequoiawing_gateway/src/stream_position.rs
@@ -29,6 +29,17 @@
     },
 }
 
+/// Why the end of an upstream's answer is not the end of the stream.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub(crate) enum EndError {
+    /// It cuts an event.
+    #[error("the stream ended within an event")]
+    WithinEvent,
+    /// The upstream was to go on and sent nothing.
+    #[error("the stream ended without an event")]
+    NoEvent,
+}
+
 /// How the events of a stream are numbered.
 #[derive(Clone, Copy, Debug)]
 enum Numbering {
@@ -50,8 +61,12 @@
     numbering: Numbering,
     /// The number of events that were passed on.
     count: u64,
+    /// The number of events of the current upstream.
+    part_count: u64,
     /// The ID of the first event of the current upstream.
     first_id: Option<u64>,
+    /// Whether the current upstream was to go on behind another one.
+    is_resumed: bool,
     /// Why the current upstream must send nothing more.
     error: Option<EventError>,
 }
@@ -64,7 +79,9 @@
             splitter: SseSplitter::default(),
             numbering: last_event_id.map_or(Numbering::Unknown, Numbering::Numeric),
             count: 0,
+            part_count: 0,
             first_id: None,
+            is_resumed: false,
             error: None,
         }
     }
@@ -122,6 +139,22 @@
             (Numbering::Numeric(_) | Numbering::Absent, _) => {}
         }
         self.count += 1;
+        self.part_count += 1;
+        Ok(())
+    }
+
+    /// Checks that the stream may end here: the answer of the current upstream has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns why this is not the end of the stream.
+    pub(crate) fn check_end(&self) -> Result<(), EndError> {
+        if self.splitter.has_partial() {
+            return Err(EndError::WithinEvent);
+        }
+        if self.is_resumed && self.part_count == 0 {
+            return Err(EndError::NoEvent);
+        }
         Ok(())
     }
 
@@ -129,7 +162,9 @@
     /// event is discarded.
     pub(crate) fn begin_part(&mut self) {
         self.splitter.discard_partial();
+        self.part_count = 0;
         self.first_id = None;
+        self.is_resumed = true;
         self.error = None;
     }
 
@@ -155,9 +190,4 @@
     pub(crate) fn count(&self) -> u64 {
         self.count
     }
-
-    /// Returns whether the upstream has sent a part of the next event.
-    pub(crate) fn has_partial(&self) -> bool {
-        self.splitter.has_partial()
-    }
 }
--- a/crates/sequoiawing_gateway/src/stream_position/tests.rs
+++ b/crates/sequoiawing_gateway/src/stream_position/tests.rs
@@ -1,4 +1,4 @@
-use super::{EventError, StreamPosition};
+use super::{EndError, EventError, StreamPosition};
 use bytes::Bytes;
 
 fn out_of_order(last: u64, id: u64) -> EventError {
@@ -94,3 +94,32 @@
         (Some(2), Some(2))
     );
 }
+
+macro_rules! ends {
+    ($($name:ident: $first:expr, $next:expr => $end:expr;)*) => {$(
+        // Guards against a stream that ends as complete before its last event.
+        #[test]
+        fn $name() {
+            let mut position = StreamPosition::new(None);
+            let pushed = position.push(Bytes::from_static($first));
+            assert!(pushed.is_ok());
+            let next: Option<&'static [u8]> = $next;
+            if let Some(next) = next {
+                position.begin_part();
+                let pushed = position.push(Bytes::from_static(next));
+                assert!(pushed.is_ok());
+            }
+            assert_eq!(position.check_end(), $end);
+        }
+    )*};
+}
+
+ends! {
+    a_stream_ends_behind_an_event: b"id: 1\n\n", None => Ok(());
+    a_stream_may_have_no_events: b"", None => Ok(());
+    a_stream_does_not_end_within_an_event: b"id: 1\n\nid", None => Err(EndError::WithinEvent);
+    a_resumed_stream_ends_behind_an_event: b"id: 1\n\n", Some(b"id: 2\n\n") => Ok(());
+    a_resumed_stream_does_not_end_without_an_event: b"id: 1\n\n", Some(b"") => Err(EndError::NoEvent);
+    a_comment_is_no_event_before_an_end: b"id: 1\n\n", Some(b": alive\n\n") => Err(EndError::NoEvent);
+    a_resumed_stream_does_not_end_within_an_event: b"id: 1\n\n", Some(b"id: 2\n") => Err(EndError::WithinEvent);
+}
