Do not take the end of a killed upstream's connection for that of its answer

Callers got streams that ended as complete between two events, and half answers with status 200.

Cause: an answer without a length or chunks ends with its connection, and a gateway took every orderly end for that of the answer. The kernel ends the connections of a killed process in the same way; a simulated one that resets them does not show it.

Such an answer is now complete if its upstream accepts a connection 50 ms later; otherwise it is a break like any other, also for the evidence on crashes. Not covered: an upstream that listens again at its address within that time, and one that lives and closes early.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -177,6 +177,11 @@
     }
     match state.bodies.read(body).await {
         Ok(bytes) => {
+            let framing = BodyFraming::of(parts.status, &parts.headers);
+            if let Err(cause) = state.check_answer_end(slot, framing).await {
+                state.record_broken_answer(exchange, slot);
+                return Err(AttemptError::MayHaveRun(cause));
+            }
             if parts.status.is_success() {
                 state.record_complete_answer(exchange);
             }
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! between HTTP headers and this crate's types. See
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
+mod answer_end;
 mod attempt;
 mod cluster_view;
 mod crash_log;
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -142,17 +142,18 @@
             let mut hedge = Hedge::new(self.state.now(), settings, self.attempts);
             let assignment = source.slot.assignment.clone();
             let last_event_id = self.position.last_id();
-            let (stream, position) = (&mut source.stream, &mut self.position);
+            let (source, position) = (source.as_mut(), &mut self.position);
+            let state = &self.state;
             let mut broken = None;
             let first = async {
-                let read = stream.read(position).await;
+                let read = source.read(state, position).await;
                 if let Err(cause) = &read {
                     broken = Some(cause.clone());
                 }
                 read.map_err(AttemptError::MayHaveRun)
             };
             let race = Race {
-                state: &self.state,
+                state,
                 exchange: &self.exchange,
                 request: &mut self.request,
                 assignment: &assignment,
--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -1,4 +1,4 @@
-use crate::{slots::Slot, stream_position::StreamPosition};
+use crate::{GatewayState, slots::Slot, stream_position::StreamPosition};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use sequoiawing_http::{BodyError, BodyFraming, ClientBody};
@@ -10,6 +10,27 @@
     pub(crate) slot: Slot,
 }
 
+impl Source {
+    /// Reads the next events, as [`EventStream::read`] does.
+    ///
+    /// # Errors
+    ///
+    /// Returns also that the end of the connection may not be that of the stream.
+    pub(crate) async fn read(
+        &mut self,
+        state: &GatewayState,
+        position: &mut StreamPosition,
+    ) -> Result<Option<Bytes>, String> {
+        let events = self.stream.read(position).await?;
+        if events.is_none() {
+            state
+                .check_answer_end(&self.slot, self.stream.framing)
+                .await?;
+        }
+        Ok(events)
+    }
+}
+
 /// The body of an event stream.
 pub(crate) struct EventStream {
     body: ClientBody,
@@ -38,10 +59,7 @@
     /// # Errors
     ///
     /// Returns why the stream broke off, or why its next event may not be passed on.
-    pub(crate) async fn read(
-        &mut self,
-        position: &mut StreamPosition,
-    ) -> Result<Option<Bytes>, String> {
+    async fn read(&mut self, position: &mut StreamPosition) -> Result<Option<Bytes>, String> {
         position.check().map_err(|error| error.to_string())?;
         loop {
             let part = match self.ahead.pop_front() {
