Reset the connection of a caller without chunks when its answer breaks off

A caller that speaks HTTP/1.0 took a stream that broke off for a whole one.

Cause: such an answer has no chunks and ends with its connection, and the listener closed the connection in order when the body failed.

The listener now resets the connection if the body of a response to a request in an older version fails. Others keep the orderly end without the last chunk, which loses no event that was sent.

--- a/crates/sequoiawing_http/src/listener.rs
+++ b/crates/sequoiawing_http/src/listener.rs
@@ -8,9 +8,10 @@
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    Request, Response, StatusCode, Version, body::Incoming, server::conn::http1,
+    service::service_fn,
 };
-use rustix::net::sockopt::set_socket_send_buffer_size;
+use rustix::net::sockopt::{set_socket_linger, set_socket_send_buffer_size};
 use sequoiawing_runtime::{Shutdown, sleep, spawn, timeout};
 use smol_hyper::rt::SmolTimer;
 use std::{
@@ -21,7 +22,7 @@
     pin::pin,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -221,6 +222,9 @@
     let Some(stream) = handler.accept(stream).await else {
         return;
     };
+    let tcp = stream.clone();
+    let has_chunks = Arc::new(AtomicBool::new(true));
+    let seen_chunks = has_chunks.clone();
     let socket = StallGuard::new(Socket::new(stream), settings.stall_timeout);
     let requests = InFlightRequests::default();
     let error_handler = handler.clone();
@@ -229,6 +233,7 @@
     let service = service_fn(move |request| {
         let handler = handler.clone();
         let guard = requests.begin();
+        seen_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
         async move {
             let response = handler.handle(request).await;
             Ok::<_, Infallible>(response.map(|body| DeferredErrorBody::new(body, guard)))
@@ -242,14 +247,17 @@
     let mut connection = pin!(connection);
     let stopping = async {
         shutdown.wait().await;
-        true
+        None
     };
-    let served = async {
-        connection.as_mut().await.ok();
-        false
-    };
-    if stopping.or(served).await {
+    let served = async { Some(connection.as_mut().await) };
+    let mut ended = stopping.or(served).await;
+    if ended.is_none() {
         connection.as_mut().graceful_shutdown();
-        connection.await.ok();
+        ended = Some(connection.as_mut().await);
+    }
+    // Without chunks an orderly end of the connection is that of the response.
+    let is_broken = matches!(ended, Some(Err(error)) if error.is_user());
+    if is_broken && !has_chunks.load(Ordering::Relaxed) {
+        set_socket_linger(&tcp, Some(Duration::ZERO)).ok();
     }
 }
