--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -1,21 +1,36 @@
-use crate::{slots::Slot, stream_position::StreamPosition};
+use crate::{GatewayState, slots::Slot, stream_position::StreamPosition};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use sequoiawing_http::{BodyError, BodyFraming, ClientBody};
 use std::collections::VecDeque;
 
-/// The cause of a stream that ends inside an event.
-const PARTIAL_EVENT: &str = "the stream ended within an event";
-
-/// The cause of a stream that ends before its first event.
-const NO_EVENT: &str = "the stream ended without an event";
-
 /// An event stream of an upstream, and the slot that it holds there.
 pub(crate) struct Source {
     pub(crate) stream: EventStream,
     pub(crate) slot: Slot,
 }
 
+impl Source {
+    /// Reads the next events, as [`EventStream::read`] does.
+    ///
+    /// # Errors
+    ///
+    /// Returns also that the end of the connection may not be that of the stream.
+    pub(crate) async fn read(
+        &mut self,
+        state: &GatewayState,
+        position: &mut StreamPosition,
+    ) -> Result<Option<Bytes>, String> {
+        let events = self.stream.read(position).await?;
+        if events.is_none() {
+            state
+                .check_answer_end(&self.slot, self.stream.framing)
+                .await?;
+        }
+        Ok(events)
+    }
+}
+
 /// The body of an event stream.
 pub(crate) struct EventStream {
     body: ClientBody,
@@ -44,17 +59,16 @@
     /// # Errors
     ///
     /// Returns why the stream broke off, or why its next event may not be passed on.
-    pub(crate) async fn read(
-        &mut self,
-        position: &mut StreamPosition,
-    ) -> Result<Option<Bytes>, String> {
+    async fn read(&mut self, position: &mut StreamPosition) -> Result<Option<Bytes>, String> {
         position.check().map_err(|error| error.to_string())?;
         loop {
             let part = match self.ahead.pop_front() {
                 Some(part) => part,
                 None => match self.receive().await {
-                    None if position.has_partial() => return Err(PARTIAL_EVENT.to_owned()),
-                    None => return Ok(None),
+                    None => {
+                        position.check_end().map_err(|error| error.to_string())?;
+                        return Ok(None);
+                    }
                     Some(part) => part.map_err(|error| error.to_string())?,
                 },
             };
@@ -74,20 +88,16 @@
     /// may not be passed on.
     pub(crate) async fn read_ahead(&mut self, last_event_id: Option<u64>) -> Result<(), String> {
         let mut position = StreamPosition::new(last_event_id);
+        position.begin_part();
         while let Some(part) = self.receive().await {
             let part = part.map_err(|error| error.to_string())?;
             self.ahead.push_back(part.clone());
-            let complete = position.push(part).map_err(|error| error.to_string())?;
-            if !complete.is_empty() {
+            position.push(part).map_err(|error| error.to_string())?;
+            if position.count() > 0 {
                 return Ok(());
             }
         }
-        let cause = if position.has_partial() {
-            PARTIAL_EVENT
-        } else {
-            NO_EVENT
-        };
-        Err(cause.to_owned())
+        position.check_end().map_err(|error| error.to_string())
     }
 
     async fn receive(&mut self) -> Option<Result<Bytes, BodyError>> {
