Models are loaded for streams at the software version that began them

Cause: rare models take turns on few runners, callers notice after a gap of 8 s, and by then the model was evicted at that version. The request for a load did not name the version: it went to any runner, or was not ordered, since one of another version held the model. And the take-up waited 250 ms if the load was expected later than half of the time that was left, at most the latency target, which had passed long ago.

The request for a load names the version, the loader orders it from an engine of that version, and a take-up waits for three quarters of its caller's time. The field is ignored by earlier builds and defaults to none; the golden messages are read as before.

Before: a_stream_whose_model_was_evicted_at_its_version_goes_on failed with left: (503, true), right: (200, true).

--- a/crates/sequoiawing_gateway/src/load_requests.rs
+++ b/crates/sequoiawing_gateway/src/load_requests.rs
@@ -4,7 +4,7 @@
 use sequoiawing_link::{
     HubClient, LoadRequest, ModelDemand, OrderedEvictions, OrderedLoads, PlannedLoad,
 };
-use sequoiawing_policy::serving::BalancerRequest;
+use sequoiawing_policy::serving::{BalancerRequest, SoftwareVersion};
 use sequoiawing_runtime::spawn;
 use sequoiawing_types::{Name, Time};
 use std::{sync::Arc, time::Duration};
@@ -28,14 +28,22 @@
         let Some(model) = request.model.clone() else {
             return;
         };
+        let software = match &request.software {
+            None => None,
+            Some(SoftwareVersion::Announced(software)) => Some(software.clone()),
+            // Only the upstream that began the stream can go on with it.
+            Some(SoftwareVersion::Unknown { .. }) => return,
+        };
         let key = (request.pool.clone(), model, request.adapter.clone());
+        let key = (key, software);
         if !self.load_requests.lock().insert(key.clone()) {
             return;
         }
         let state = self.clone();
         let request = request.clone();
         spawn(async move {
-            let ordered = state.fetch_loads(&request, wait).await;
+            let software = key.1.clone();
+            let ordered = state.fetch_loads(&request, software, wait).await;
             state.load_requests.lock().remove(&key);
             match ordered {
                 Some(ordered) => state.apply_requested(ordered),
@@ -46,13 +54,19 @@
         .detach();
     }
 
-    async fn fetch_loads(&self, request: &BalancerRequest, wait: Duration) -> Option<OrderedLoads> {
+    async fn fetch_loads(
+        &self,
+        request: &BalancerRequest,
+        software: Option<Name>,
+        wait: Duration,
+    ) -> Option<OrderedLoads> {
         let hub = self.hubs.lock().leader(self.now())?;
         let load_request = LoadRequest {
             demand: ModelDemand {
                 pool: request.pool.clone(),
                 model: request.model.clone()?,
                 adapter: request.adapter.clone(),
+                software,
                 missed: 1,
                 ..ModelDemand::default()
             },
@@ -80,12 +94,23 @@
 
     /// Returns the estimated time until a model is loaded, if a load is in
     /// progress.
-    pub(crate) fn time_until_loaded(&self, pool: &Name, model: &Name) -> Option<Duration> {
+    pub(crate) fn time_until_loaded(&self, request: &BalancerRequest) -> Option<Duration> {
         let now = self.now();
+        let model = request.adapter.as_ref().or(request.model.as_ref())?;
         let cluster = self.cluster.lock();
         let loads = cluster.loads.iter();
-        let matching = loads.filter(|(_, l)| l.pool == *pool && l.model == *model);
-        matching.map(|(at, _)| at.since(now)).min()
+        let matching = loads.filter(|(_, l)| l.pool == request.pool && l.model == *model);
+        let matching: Vec<(Time, Name)> =
+            matching.map(|(at, l)| (*at, l.upstream.clone())).collect();
+        drop(cluster);
+        let balancer = self.balancer.lock();
+        let can_serve = |upstream: &Name| {
+            let needed = request.software.as_ref();
+            let state = balancer.state(upstream);
+            needed.is_none_or(|software| state.is_some_and(|state| software.is_of(state)))
+        };
+        let usable = matching.iter().filter(|(_, upstream)| can_serve(upstream));
+        usable.map(|(at, _)| at.since(now)).min()
     }
 
     /// Applies the evictions that the leader ordered.
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -24,6 +24,11 @@
 /// Divides the remaining time to get the longest wait for notice of a load.
 const PROPAGATION_WAIT_DIVISOR: u32 = 4;
 
+/// Divides the remaining time of a request that takes a stream up to get the time that is
+/// kept for the rest of the stream. Most of its work is done, and its caller has already
+/// waited for longer than the latency target.
+const TAKE_UP_RESERVE_DIVISOR: u32 = 4;
+
 /// How long a request waits past the estimated end of a load, since the
 /// upstream's announcement arrives with the next report.
 const LOAD_SLACK: Duration = Duration::from_millis(300);
@@ -234,13 +239,16 @@
         // While no leader orders loads, or none is planned, a request that comes back
         // finds no more than one that waits.
         let target = self.exchange.route.target_latency();
+        let is_take_up = request.software.is_some();
+        let patience = remaining.saturating_sub(remaining / TAKE_UP_RESERVE_DIVISOR);
         let notice = if self.state.is_isolated() {
             Duration::ZERO
+        } else if is_take_up {
+            patience
         } else {
             target.min(remaining / PROPAGATION_WAIT_DIVISOR)
         };
-        let name = request.adapter.as_ref().or(request.model.as_ref());
-        let ready = name.and_then(|model| self.state.time_until_loaded(&request.pool, model));
+        let ready = self.state.time_until_loaded(request);
         let refuse = |retry| {
             let problem = "no upstream has the model loaded";
             Refused::new(Code::NoUpstream, problem).with_retry_after(retry)
@@ -252,8 +260,12 @@
             return (until, refuse(MODEL_MISSING_RETRY));
         };
         let wait = ready + LOAD_SLACK;
-        let longest = MAX_LOAD_WAIT.max(self.exchange.route.target_latency());
-        let bound = (remaining / LOAD_WAIT_DIVISOR).min(longest);
+        let bound = if is_take_up {
+            patience
+        } else {
+            let longest = MAX_LOAD_WAIT.max(target);
+            (remaining / LOAD_WAIT_DIVISOR).min(longest)
+        };
         if now + wait <= self.started + bound {
             return (now + wait, refuse(LOAD_SLACK));
         }
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -102,7 +102,7 @@
     demand: Mutex<DemandQueue>,
     lateness: Mutex<LatenessMeter>,
     /// What hubs are being asked to load.
-    pub(crate) load_requests: Mutex<HashSet<DemandKey>>,
+    pub(crate) load_requests: Mutex<HashSet<(DemandKey, Option<Name>)>>,
     hub_stubs: Mutex<HashMap<SocketAddr, Stub<HubClient>>>,
     pub(crate) cluster: Mutex<ClusterView>,
     pub(crate) hubs: Mutex<HubSelector>,
--- a/crates/sequoiawing_hub/src/load_request.rs
+++ b/crates/sequoiawing_hub/src/load_request.rs
@@ -7,7 +7,7 @@
 use sequoiawing_link::{HubClient, LoadRequest, OrderedLoads, PlannedLoad};
 use sequoiawing_runtime::timeout;
 use sequoiawing_types::Name;
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 /// The time that a call to the leader's hub may take in addition to its wait.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(200);
@@ -49,11 +49,12 @@
 
     /// Returns whether an engine carries out a load that meets the request, or has done so.
     fn knows_load(&self, request: &LoadRequest) -> bool {
+        let engines = self.engines_of(request);
         let ordered = self.ordered_loads.lock();
         let mut loads = ordered.iter().flat_map(|(_, ordered)| &ordered.loads);
         let is_underway = loads.any(|load| {
             let is_queued = load.upstream.as_str().is_empty();
-            is_asked_for(request, load) && !is_queued
+            is_asked_for(request, engines.as_ref(), load) && !is_queued
         });
         drop(ordered);
         is_underway || !self.holders(request).is_empty()
@@ -67,7 +68,10 @@
         let live = roster.live().filter(|state| state.pool == demand.pool);
         let holders = live.filter(|state| {
             let has_adapter = |adapter| state.has_adapter(adapter);
-            state.has_model(&demand.model)
+            let needed = demand.software.as_ref();
+            let is_of_version = needed.is_none() || state.software.as_ref() == needed;
+            is_of_version
+                && state.has_model(&demand.model)
                 && demand.adapter.as_ref().is_none_or(has_adapter)
                 && !state.leaving
         });
@@ -83,12 +87,23 @@
         holders
     }
 
+    /// Returns the engines of the software version that a request needs; `None` if it
+    /// needs none.
+    fn engines_of(&self, request: &LoadRequest) -> Option<BTreeSet<Name>> {
+        let software = request.demand.software.as_ref()?;
+        let roster = self.roster.lock();
+        let engines = roster.live();
+        let engines = engines.filter(|state| state.software.as_ref() == Some(software));
+        Some(engines.map(|state| state.name.clone()).collect())
+    }
+
     /// Returns the loads that meet a request: those that wait for an engine, are being
     /// carried out or are done.
     fn loads_for(&self, request: &LoadRequest) -> OrderedLoads {
+        let engines = self.engines_of(request);
         let ordered = self.ordered_loads(self.now()).unwrap_or_default();
         let underway = ordered.loads.into_iter();
-        let underway = underway.filter(|load| is_asked_for(request, load));
+        let underway = underway.filter(|load| is_asked_for(request, engines.as_ref(), load));
         let done = self
             .holders(request)
             .into_iter()
@@ -105,7 +120,15 @@
     }
 }
 
-/// Returns whether a load is one that a request asks for.
-fn is_asked_for(request: &LoadRequest, load: &PlannedLoad) -> bool {
-    load.model == *request.target() && load.pool == request.demand.pool
+/// Returns whether a load is one that a request asks for; `engines` are those that may
+/// serve it, if not all may.
+fn is_asked_for(
+    request: &LoadRequest,
+    engines: Option<&BTreeSet<Name>>,
+    load: &PlannedLoad,
+) -> bool {
+    let may_serve = engines
+        .as_ref()
+        .is_none_or(|names| names.contains(&load.upstream));
+    may_serve && load.model == *request.target() && load.pool == request.demand.pool
 }
--- a/crates/sequoiawing_hub/src/loader.rs
+++ b/crates/sequoiawing_hub/src/loader.rs
@@ -140,6 +140,14 @@
         self.handle_event(LoaderEvent::Unreachable(unreachable));
         let demands = std::mem::take(&mut *self.state.pending_demand.lock());
         for demand in demands {
+            if let Some(software) = demand.software {
+                self.handle_event(LoaderEvent::StreamMissed {
+                    pool: demand.pool,
+                    model: demand.model,
+                    software,
+                });
+                continue;
+            }
             self.handle_event(LoaderEvent::Demand {
                 pool: demand.pool,
                 model: demand.model,
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -20,6 +20,8 @@
     pub model: Name,
     /// The adapter, as `model:adapter`.
     pub adapter: Option<Name>,
+    /// The software version that must serve it, since the requests take up streams of it.
+    pub software: Option<Name>,
     /// The number of requests.
     pub asked: u64,
     /// The tokens that these requests declared.
--- a/crates/sequoiawing_link/tests/golden.rs
+++ b/crates/sequoiawing_link/tests/golden.rs
@@ -60,6 +60,7 @@
         missed: 3,
         crowded: 4,
         late: 5,
+        ..ModelDemand::default()
     }
 }
 
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -261,6 +261,10 @@
     pub fn next_expected(&self, now: Time, request: &BalancerRequest) -> Option<Time> {
         let needed = [request.model.as_ref(), request.adapter.as_ref()];
         let pool = self.pools.get(&request.pool)?.iter();
+        let pool = pool.filter(|key| {
+            let needed = request.software.as_ref();
+            needed.is_none_or(|software| software.is_of(&self.upstreams[**key].state))
+        });
         let loads = pool.filter_map(|key| self.expected.get(&self.upstreams[*key].state.name));
         let due = loads.flatten().filter(|(name, ready)| {
             *ready > now && needed.iter().flatten().any(|needed| *needed == name)
--- a/crates/sequoiawing_policy/src/serving/loader/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/mod.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod inventory;
 mod memory;
+mod stream_demand;
 mod victims;
 
 use super::{EngineReply, EngineReport};
@@ -19,6 +20,7 @@
     sync::Arc,
     time::Duration,
 };
+use stream_demand::StreamDemand;
 use victims::Victims;
 
 /// The backoff after an engine rejected an order.
@@ -76,6 +78,16 @@
         /// How many answers began late because their upstream was busy.
         late: u64,
     },
+    /// A stream that an engine of this software version began found no such engine that
+    /// has loaded the model.
+    StreamMissed {
+        /// The pool.
+        pool: Name,
+        /// The model.
+        model: Name,
+        /// The software version.
+        software: Name,
+    },
     /// An engine replied to an order.
     OrderAnswered {
         /// The engine.
@@ -137,18 +149,21 @@
 ///
 /// Loads are chosen in this order:
 ///
-/// 1. Models that are requested but not loaded, on the engine with the least
+/// 1. Models of interrupted streams that no engine of the stream's software version has
+///    loaded, on such an engine.
+/// 2. Models that are requested but not loaded, on the engine with the least
 ///    cost of the load and of the models that it evicts.
-/// 2. Further replicas of models whose demand exceeds what their replicas can
+/// 3. Further replicas of models whose demand exceeds what their replicas can
 ///    serve.
-/// 3. While the weight store is idle, models whose weights are not yet in the
+/// 4. While the weight store is idle, models whose weights are not yet in the
 ///    memory or on the disk of any engine.
-/// 4. Models with local checkpoints that fit into free engine memory.
+/// 5. Models with local checkpoints that fit into free engine memory.
 pub struct ModelLoader {
     settings: LoaderSettings,
     index: CatalogIndex,
     engines: BTreeMap<Name, Engine>,
     demands: DemandTracker,
+    streams: StreamDemand,
     /// When the last load from the weight store started.
     last_store_load: Option<Time>,
     adapter_plans: Vec<LoadPlan>,
@@ -164,6 +179,7 @@
             index: CatalogIndex::default(),
             engines: BTreeMap::new(),
             demands: DemandTracker::default(),
+            streams: StreamDemand::default(),
             last_store_load: None,
             adapter_plans: Vec::new(),
             queued: Vec::new(),
@@ -205,6 +221,11 @@
                 }
                 self.demands.record(now, (pool, model, adapter), sample);
             }
+            LoaderEvent::StreamMissed {
+                pool,
+                model,
+                software,
+            } => self.streams.record(now, pool, model, software),
             LoaderEvent::OrderAnswered { engine, reply } => self.on_reply(now, &engine, reply),
             LoaderEvent::Reported { engine, report } => self.on_report(now, &engine, report),
             LoaderEvent::Tick => {
@@ -299,8 +320,9 @@
             let assumed = self.settings.replica_rate;
             self.demands
                 .learn_capacities(now, &pool.name, assumed, &inventory);
+            self.load_for_streams(now, pool, &mut inventory);
             for (model, value) in self.wanted(now, pool, &inventory) {
-                if !self.assign_load(now, pool, &mut inventory, &model, value) {
+                if !self.assign_load(now, pool, &mut inventory, &model, value, None) {
                     self.plan_queued(now, pool, &inventory, &model);
                 }
             }
@@ -427,8 +449,8 @@
         });
     }
 
-    /// Assigns a load to the engine with the least cost. Returns whether there
-    /// is one.
+    /// Assigns a load to the engine with the least cost, of a software version if one is
+    /// given. Returns whether there is one.
     fn assign_load(
         &mut self,
         now: Time,
@@ -436,6 +458,7 @@
         inventory: &mut PoolInventory,
         model: &ModelSpec,
         value: f64,
+        software: Option<&Name>,
     ) -> bool {
         // An engine with a local checkpoint will be free soon, so the weight
         // store is not used.
@@ -446,7 +469,8 @@
             let Some(engine) = self.engines.get(name) else {
                 continue;
             };
-            if engine.will_hold(&model.name) {
+            let is_of_version = software.is_none() || engine.state.software.as_ref() == software;
+            if engine.will_hold(&model.name) || !is_of_version {
                 continue;
             }
             let source = engine.load_source(&model.name);
@@ -497,7 +521,7 @@
         let Some((model, rate)) = most.map(|(m, rate)| (m.clone(), rate)) else {
             return;
         };
-        self.assign_load(now, pool, inventory, &model, rate + PREFETCH_VALUE);
+        self.assign_load(now, pool, inventory, &model, rate + PREFETCH_VALUE, None);
     }
 
     fn victims(
--- a/crates/sequoiawing_policy/src/serving/software.rs
+++ b/crates/sequoiawing_policy/src/serving/software.rs
@@ -6,7 +6,7 @@
 ///
 /// What two versions write does not fit together, so that a stream goes on only at
 /// upstreams of the version that began it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum SoftwareVersion {
     /// The version that the upstream announces, empty if it names none.
     Announced(Name),
