--- a/crates/sequoiawing_gateway/src/hedge.rs
+++ b/crates/sequoiawing_gateway/src/hedge.rs
@@ -3,6 +3,7 @@
 use crate::{
     GatewayExchange, GatewayState,
     attempt::{AttemptError, UpstreamResponse, send},
+    retry_budget::RetryCause,
     slots::SlotSearch,
 };
 use futures_lite::FutureExt;
@@ -229,7 +230,7 @@
         return None;
     }
     let slot = SlotSearch::new(state, exchange).try_acquire(request)?;
-    if !state.take_retry(&exchange.pool) {
+    if !state.take_retry(exchange, RetryCause::Silence) {
         return None;
     }
     let upstream = slot.upstream().clone();
@@ -243,7 +244,7 @@
     Some(async move {
         let sent = pin!(send(state, exchange, slot, last_event_id));
         let response = match sent.await {
-            Ok(response) => wait_for_event(state, exchange, response).await,
+            Ok(response) => wait_for_event(state, exchange, response, last_event_id).await,
             Err(error) => Err(error),
         };
         response.inspect_err(|error| {
@@ -262,6 +263,7 @@
     state: &Arc<GatewayState>,
     exchange: &GatewayExchange,
     response: UpstreamResponse,
+    last_event_id: Option<u64>,
 ) -> Result<UpstreamResponse, AttemptError> {
     let (parts, mut source) = match response {
         UpstreamResponse::Stream(parts, source) => (parts, source),
@@ -270,7 +272,8 @@
         }
         response @ UpstreamResponse::Buffered(..) => return Ok(response),
     };
-    match timeout(MAX_OVERLAP, source.stream.read_ahead()).await {
+    let last_event_id = last_event_id.or(exchange.meta.last_event_id);
+    match timeout(MAX_OVERLAP, source.stream.read_ahead(last_event_id)).await {
         Some(Err(cause)) => {
             state.record_broken_answer(exchange, &source.slot);
             source.slot.release(AttemptOutcome::Aborted);
--- a/crates/sequoiawing_router/src/attempt.rs
+++ b/crates/sequoiawing_router/src/attempt.rs
@@ -220,8 +220,8 @@
         };
         let address = self.state.translations.translate(assignment.address);
         let sent = self.send_http(address, template.repeatable, build);
-        let response = match timeout(remaining, sent).await {
-            Some(Ok(response)) => response,
+        let (response, was_resent) = match timeout(remaining, sent).await {
+            Some(Ok(sent)) => sent,
             Some(Err(ClientError::NotSent(cause))) => return Err(AttemptError::not_sent(cause)),
             Some(Err(ClientError::NoResponse(cause) | ClientError::IdleClosed(cause))) => {
                 return Err(AttemptError::unknown(cause));
@@ -233,6 +233,13 @@
             return Err(AttemptError::unknown(problem));
         }
         if reports_not_run(&response) {
+            if was_resent {
+                let cause = "the upstream did not take the request when it was sent again";
+                return Err(AttemptError {
+                    unhealthy: false,
+                    ..AttemptError::unknown(cause)
+                });
+            }
             return Err(AttemptError {
                 reached: true,
                 unhealthy: false,
@@ -252,7 +259,7 @@
         Ok(response)
     }
 
-    /// Sends the request over HTTP.
+    /// Sends the request over HTTP, and returns whether it was sent twice.
     ///
     /// A pooled connection may turn out to be closed after it was idle, so it is
     /// used only for requests that may be repeated.
@@ -261,21 +268,23 @@
         address: SocketAddr,
         repeatable: bool,
         build: B,
-    ) -> Result<Response<ClientBody>, ClientError>
+    ) -> Result<(Response<ClientBody>, bool), ClientError>
     where
         B: Fn() -> Request<Body>,
     {
         let client = &self.state.client;
         if !repeatable {
-            return client.send_on_new_connection(address, build()).await;
+            let response = client.send_on_new_connection(address, build()).await?;
+            return Ok((response, false));
         }
         match client.send(address, build()).await {
             Err(ClientError::IdleClosed(_)) => {
                 let retried = client.send_on_new_connection(address, build()).await;
                 // The first request may have run, whatever the result of the second.
-                retried.map_err(|e| ClientError::NoResponse(e.to_string()))
+                let response = retried.map_err(|e| ClientError::NoResponse(e.to_string()))?;
+                Ok((response, true))
             }
-            result => result,
+            result => Ok((result?, false)),
         }
     }
 
@@ -331,29 +340,47 @@
     if echoed != Some(attempt.as_bytes()) {
         return Some("the answer belongs to another request");
     }
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        return Some("the upstream switched protocols");
+    }
     if !is_delimited(template, response) {
         return Some("the answer does not say where it ends");
     }
     let point = point?;
     let offset = headers.get(RESUME_OFFSET_HEADER);
     let offset = offset.and_then(|v| v.to_str().ok()?.parse().ok());
-    if offset != Some(point.offset) || response.status() != StatusCode::OK {
+    if offset != Some(point.offset)
+        || response.status() != StatusCode::OK
+        || !is_event_stream(headers)
+        || headers.contains_key(header::CONTENT_ENCODING)
+    {
         return Some("the upstream did not resume the stream");
     }
     None
 }
 
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content = headers.get(header::CONTENT_TYPE);
+    content.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
+}
+
 /// Returns whether a truncated response can be told from a complete one.
+///
+/// A response with a transfer encoding other than chunks ends with its connection.
 fn is_delimited(template: &RequestTemplate, response: &Response<ClientBody>) -> bool {
     let status = response.status();
     let is_empty = template.method == Method::HEAD
-        || status.is_informational()
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED;
     let headers = response.headers();
-    is_empty
-        || headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
+    let mut encodings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    match encodings.next() {
+        _ if is_empty => true,
+        None => headers.contains_key(header::CONTENT_LENGTH),
+        Some(first) => {
+            first.as_bytes().eq_ignore_ascii_case(b"chunked") && encodings.next().is_none()
+        }
+    }
 }
 
 fn reports_not_run(response: &Response<ClientBody>) -> bool {
