--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod judge;
+mod links;
 mod plan;
 mod processes;
 mod record;
@@ -15,6 +16,7 @@
 mod wire;
 
 pub use judge::{Bounds, Finding, Promise, Verdict, judge};
+pub use links::LinkState;
 pub use plan::{Fault, Size, Step, plan};
 pub use processes::leash;
 pub use record::{End, Record, Sent, now_ms};
--- /dev/null
+++ b/tools/soak/src/links.rs
@@ -0,0 +1,117 @@
+//! Links between processes that delay, hold or reset what they carry.
+
+use async_net::{TcpListener, TcpStream};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future::zip};
+use rustix::net::sockopt::set_socket_linger;
+use sequoiawing_runtime::{Watch, sleep, spawn};
+use std::{
+    io,
+    net::{Shutdown, SocketAddr},
+    time::Duration,
+};
+
+/// The buffer size of a link, in bytes.
+const BUFFER: usize = 16 * 1024;
+
+/// What a link does with connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LinkState {
+    /// Carries all bytes.
+    #[default]
+    Open,
+    /// Holds bytes of both directions back.
+    Silent,
+    /// Holds back what comes from the other end, and carries what goes there.
+    OneWay,
+    /// Resets connections.
+    Reset,
+    /// Carries bytes so many milliseconds later.
+    Late(u64),
+}
+
+/// A link from one process to another.
+pub(crate) struct Link(Watch<LinkState>);
+
+impl Link {
+    /// Starts a link that listens at `address` and forwards to `target`.
+    pub(crate) fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::try_from(listener)?;
+        let state: Watch<LinkState> = Watch::new(LinkState::Open);
+        let shared = state.clone();
+        spawn(async move {
+            loop {
+                if let Ok((near, _)) = listener.accept().await {
+                    spawn(forward(near, target, shared.clone())).detach();
+                }
+            }
+        })
+        .detach();
+        Ok(Self(state))
+    }
+
+    pub(crate) fn set(&self, state: LinkState) {
+        self.0.set(state);
+    }
+}
+
+async fn forward(near: TcpStream, target: SocketAddr, state: Watch<LinkState>) {
+    state.wait_until(|s| *s != LinkState::Silent).await;
+    let Ok(far) = TcpStream::connect(target).await else {
+        reset(&near);
+        return;
+    };
+    near.set_nodelay(true).ok();
+    far.set_nodelay(true).ok();
+    let copied = async {
+        let out = copy(near.clone(), far.clone(), &state, |s| {
+            s != LinkState::Silent
+        });
+        let back = copy(far.clone(), near.clone(), &state, |s| {
+            !matches!(s, LinkState::Silent | LinkState::OneWay)
+        });
+        zip(out, back).await;
+    };
+    let broken = async {
+        state.wait_until(|s| *s == LinkState::Reset).await;
+        reset(&near);
+        reset(&far);
+    };
+    copied.or(broken).await;
+}
+
+/// Makes a connection end with a reset when it is dropped.
+fn reset(stream: &TcpStream) {
+    set_socket_linger(stream, Some(Duration::ZERO)).ok();
+}
+
+/// Copies bytes while the link `carries` them, until either end closes. An orderly end
+/// is passed on as such, and a reset as a reset.
+async fn copy<F>(mut from: TcpStream, mut to: TcpStream, state: &Watch<LinkState>, carries: F)
+where
+    F: Fn(LinkState) -> bool,
+{
+    let mut buffer = vec![0; BUFFER];
+    loop {
+        let read = from.read(&mut buffer).await;
+        let now = state.wait_until(|s| carries(*s)).await;
+        if let LinkState::Late(delay) = now {
+            sleep(Duration::from_millis(delay)).await;
+        }
+        match read {
+            Ok(0) => {
+                to.shutdown(Shutdown::Write).ok();
+                return;
+            }
+            Ok(count) if to.write_all(&buffer[..count]).await.is_ok() => {}
+            _ => {
+                reset(&from);
+                reset(&to);
+                from.shutdown(Shutdown::Read).ok();
+                to.shutdown(Shutdown::Read).ok();
+                return;
+            }
+        }
+    }
+}
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -1,6 +1,6 @@
 //! The faults of a run, from its seed.
 
-use crate::runner::Mode;
+use crate::{links::LinkState, runner::Mode};
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 use std::fmt;
@@ -38,6 +38,10 @@
     StopRunner(usize, u64),
     /// Runners misbehave for so many milliseconds.
     Misbehave(Vec<usize>, Box<Mode>, u64),
+    /// The links of a gateway to runners are disturbed for so many milliseconds.
+    RunnerLinks(usize, LinkState, u64),
+    /// The links of a gateway to hubs are disturbed for so many milliseconds.
+    HubLinks(usize, LinkState, u64),
     /// The configuration is sent again with a higher version.
     Configure,
 }
@@ -82,7 +86,7 @@
     let controller = random.random_range(0..size.controllers);
     let pause = random.random_range(500..5_000);
     let mut add = |at, fault| steps.push(Step { at, fault });
-    match random.random_range(0..12) {
+    match random.random_range(0..14) {
         // Restarts in series while runners refuse: each start may take a new share.
         0 | 1 => {
             let refusing = pick(random, size.runners, 0.9);
@@ -134,6 +138,11 @@
             add(at, Fault::Misbehave(runners, Box::new(mode), pause));
             add(at + 500, Fault::KillGateways(vec![gateway]));
         }
+        11 => add(at, Fault::RunnerLinks(gateway, link_state(random), pause)),
+        12 => {
+            add(at, Fault::HubLinks(gateway, link_state(random), pause));
+            add(at + 300, Fault::KillGateways(vec![gateway]));
+        }
         _ => {
             for i in 0..3 {
                 let at = at + i * 1_500;
@@ -144,6 +153,15 @@
     }
 }
 
+fn link_state(random: &mut ChaCha8Rng) -> LinkState {
+    match random.random_range(0..4) {
+        0 => LinkState::Silent,
+        1 => LinkState::OneWay,
+        2 => LinkState::Reset,
+        _ => LinkState::Late(random.random_range(50..800)),
+    }
+}
+
 /// Picks a share of the processes, at least one.
 fn pick(random: &mut ChaCha8Rng, number: usize, share: f64) -> Vec<usize> {
     let mut all: Vec<usize> = (0..number).collect();
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -5,6 +5,7 @@
 use crate::{
     caller::{Caller, Callers},
     judge::{Bounds, Verdict, judge},
+    links::{Link, LinkState},
     plan::{Fault, Size, plan},
     record::{Record, now_ms},
     report,
@@ -269,6 +270,16 @@
                 deployment.set_mode(*i, &crate::runner::Mode::default());
             }
         }
+        Fault::RunnerLinks(i, state, length) => {
+            note(Some(gateway_name(*i)));
+            set_links(&deployment.runner_links, *i, *state, *length).await;
+            note(Some(gateway_name(*i)));
+        }
+        Fault::HubLinks(i, state, length) => {
+            note(Some(gateway_name(*i)));
+            set_links(&deployment.hub_links, *i, *state, *length).await;
+            note(Some(gateway_name(*i)));
+        }
         Fault::Configure => {
             let version = now_ms();
             deployment.configure(&configuration(version)).await;
@@ -276,6 +287,18 @@
     }
 }
 
+/// Disturbs the links of a gateway; the last gateways of a large run have none.
+async fn set_links(links: &[Vec<Link>], gateway: usize, state: LinkState, length: u64) {
+    let links = links.get(gateway).map_or(&[][..], Vec::as_slice);
+    for link in links {
+        link.set(state);
+    }
+    sleep(Duration::from_millis(length)).await;
+    for link in links {
+        link.set(LinkState::Open);
+    }
+}
+
 /// Returns the name of a gateway in records.
 fn gateway_name(i: usize) -> String {
     format!("gateway-{i}")
--- a/tools/soak/src/run/deployment.rs
+++ b/tools/soak/src/run/deployment.rs
@@ -4,6 +4,7 @@
 use crate::{
     caller::{PLAIN, ROUTES, STREAMS},
     judge::Bounds,
+    links::Link,
     plan::Size,
     processes::Process,
     record::Record,
@@ -27,6 +28,19 @@
 const READY: u16 = 8224;
 const RUNNER: u16 = 8080;
 
+/// The first port of the traffic between hosts; that of hubs is the next.
+const INTERNAL: u16 = 7600;
+
+/// The internal ports of a host. Those of each gateway with links are its own, so that
+/// its links to hubs can be told from those of other gateways.
+const INTERNAL_COUNT: u16 = 4;
+
+/// The port at a runner's address of the first gateway's link to it.
+const LINKS: u16 = 8300;
+
+/// The gateways that reach runners and hubs over links.
+const LINKED: usize = 10;
+
 /// The port that reserves a network.
 const RESERVED: u16 = 7999;
 
@@ -52,6 +66,10 @@
     pub(super) controllers: Vec<Mutex<Process>>,
     pub(super) gateways: Vec<Mutex<Process>>,
     pub(super) runners: Vec<RunnerProcess>,
+    /// The links of each of the first gateways to all runners.
+    pub(super) runner_links: Vec<Vec<Link>>,
+    /// The links of each of the first gateways to all hubs.
+    pub(super) hub_links: Vec<Vec<Link>>,
     folder: PathBuf,
     network: Network,
 }
@@ -110,6 +128,8 @@
             controllers: Vec::new(),
             gateways: Vec::new(),
             runners: Vec::new(),
+            runner_links: Vec::new(),
+            hub_links: Vec::new(),
             network: Network::reserve()?,
             folder,
         };
@@ -119,7 +139,7 @@
             let settings = json!({
                 "host": format!("core-{i}"), "centre": format!("z{}", i % 3), "ip": ip,
                 "control": SocketAddr::new(ip, CONTROL),
-                "data": deployment.folder.join(format!("data-{i}")), "ports": [7600, 7615],
+                "data": deployment.folder.join(format!("data-{i}")), "ports": [INTERNAL, INTERNAL + INTERNAL_COUNT - 1],
                 "seeds": seeds, "bootstrap": true, "secret": "a secret for the soak",
                 "losses": 1, "heartbeat": 600, "lease": 1500,
             });
@@ -128,11 +148,19 @@
         }
         for i in 0..size.gateways {
             let ip = deployment.network.ip(FIRST_GATEWAY + i);
+            let mut translations = Vec::new();
+            let mut ports = [INTERNAL, INTERNAL + INTERNAL_COUNT - 1];
+            let mut hubs = seeds.clone();
+            if i < LINKED {
+                translations = deployment.link_runners(i, size.runners)?;
+                ports = ports.map(|port| port + (port_offset(i) + 1) * INTERNAL_COUNT);
+                hubs = deployment.link_hubs(ports[0], size.controllers)?;
+            }
             let settings = json!({
                 "host": format!("edge-{i}"), "centre": format!("z{}", i % 3), "ip": ip,
                 "callers": SocketAddr::new(ip, CALLERS), "ready": SocketAddr::new(ip, READY),
-                "ports": [7600, 7615], "seeds": seeds, "secret": "a secret for the soak",
-                "retry_ratio": bounds.ratio, "retry_slack": bounds.slack,
+                "ports": ports, "seeds": hubs, "secret": "a secret for the soak",
+                "translations": translations, "retry_ratio": bounds.ratio, "retry_slack": bounds.slack,
                 "retry_window": bounds.window / 1000, "grace": 8,
             });
             let process = deployment.start_host(platform, "gateway", i, &settings)?;
@@ -146,6 +174,36 @@
         Ok(deployment)
     }
 
+    /// Starts the links of a gateway to all runners; returns its translations.
+    fn link_runners(&mut self, gateway: usize, runners: usize) -> io::Result<Vec<Value>> {
+        let mut links = Vec::new();
+        let mut translations = Vec::new();
+        for i in 0..runners {
+            let ip = self.network.ip(FIRST_RUNNER + i);
+            let target = SocketAddr::new(ip, RUNNER);
+            let reach = SocketAddr::new(ip, LINKS + port_offset(gateway));
+            links.push(Link::start(reach, target)?);
+            translations.push(json!({ "address": target, "reach": reach }));
+        }
+        self.runner_links.push(links);
+        Ok(translations)
+    }
+
+    /// Starts the links of a gateway with this first port to all hubs; returns the
+    /// addresses that stand for those of the controllers.
+    fn link_hubs(&mut self, first_port: u16, controllers: usize) -> io::Result<Vec<SocketAddr>> {
+        let mut links = Vec::new();
+        let mut seeds = Vec::new();
+        for i in 0..controllers {
+            let near = self.network.ip(1 + controllers + i);
+            let hub = SocketAddr::new(self.network.ip(1 + i), INTERNAL + 1);
+            links.push(Link::start(SocketAddr::new(near, first_port + 1), hub)?);
+            seeds.push(SocketAddr::new(near, CONTROL));
+        }
+        self.hub_links.push(links);
+        Ok(seeds)
+    }
+
     fn start_host(
         &self,
         platform: &Path,
@@ -269,6 +327,10 @@
     }
 }
 
+fn port_offset(i: usize) -> u16 {
+    u16::try_from(i).unwrap_or(u16::MAX)
+}
+
 /// Returns whether a check is answered with 200, or 500 by a runner.
 async fn is_answered(address: SocketAddr, path: &str) -> bool {
     let sent = async {
