--- /dev/null
+++ b/tools/soak/tests/seeded.rs
@@ -0,0 +1,108 @@
+//! Short runs of real processes with faults from a seed break no promise, and leave no
+//! process behind.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::{Command, Stdio},
+    sync::Mutex,
+    time::Duration,
+};
+
+/// Held while cargo builds, which tests would only wait for.
+static BUILD: Mutex<()> = Mutex::new(());
+
+/// Builds the program of gateways and controllers, and returns its path.
+fn platform() -> PathBuf {
+    let _held = BUILD.lock();
+    let soak = Path::new(env!("CARGO_BIN_EXE_soak"));
+    let platform = soak.with_file_name("sequoiawing-platform");
+    let mut build = Command::new(env!("CARGO"));
+    build.args(["build", "--locked", "-p", "sequoiawing_platform"]);
+    if soak.parent().is_some_and(|p| p.ends_with("release")) {
+        build.arg("--release");
+    }
+    let status = build.status().expect("cargo runs");
+    assert!(status.success(), "the program was not built");
+    platform
+}
+
+fn play(seed: u64, seconds: u64) {
+    let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak");
+    let played = Command::new(env!("CARGO_BIN_EXE_soak"))
+        .args(["run", "--seed", &seed.to_string()])
+        .args(["--seconds", &seconds.to_string()])
+        .arg("--platform")
+        .arg(platform())
+        .arg("--logs")
+        .arg(logs)
+        .output()
+        .expect("the soak runs");
+    let output = String::from_utf8_lossy(&played.stdout);
+    let errors = String::from_utf8_lossy(&played.stderr);
+    assert!(played.status.success(), "{output}{errors}");
+}
+
+macro_rules! seeds {
+    ($($name:ident: $seed:literal, $seconds:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            play($seed, $seconds);
+        }
+    )*};
+}
+
+seeds! {
+    // Each start of a gateway had a new share of the slack while runners refused.
+    gateways_restarted_in_series_keep_the_budget: 3, 50;
+    // Streams went on at another software version, and ended as whole before their end.
+    replaced_runners_break_no_stream: 4, 50;
+}
+
+/// Returns the processes that a process started and that still run.
+fn children(parent: u32) -> Vec<String> {
+    let entries = fs::read_dir("/proc").expect("the processes can be listed");
+    let pids = entries.filter_map(|e| e.ok()?.file_name().into_string().ok());
+    let is_child = |pid: &String| {
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        let mut fields = stat.rsplit(')').next().unwrap_or_default().split(' ');
+        fields.nth(2) == Some(&parent.to_string())
+    };
+    pids.filter(is_child).collect()
+}
+
+fn is_running(pid: &str) -> bool {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let state = stat.rsplit(')').next().unwrap_or_default().trim().chars();
+    state.clone().next().is_some_and(|s| s != 'Z' && s != 'X')
+}
+
+/// Polls until `ready`, for half a minute at most.
+fn wait_until(ready: impl Fn() -> bool) -> bool {
+    (0..600).any(|_| {
+        std::thread::sleep(Duration::from_millis(50));
+        ready()
+    })
+}
+
+/// A soak that was killed left its processes running.
+#[test]
+fn processes_end_with_a_killed_soak() {
+    let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join("killed");
+    let mut soak = Command::new(env!("CARGO_BIN_EXE_soak"))
+        .args(["run", "--platform"])
+        .arg(platform())
+        .arg("--logs")
+        .arg(logs)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the soak starts");
+    // Three controllers, five gateways and six runners.
+    let has_started = wait_until(|| children(soak.id()).len() == 14);
+    let started = children(soak.id());
+    soak.kill().expect("the soak can be killed");
+    soak.wait().expect("the soak has ended");
+    assert!(has_started, "14 processes were expected: {started:?}");
+    let ended = wait_until(|| !started.iter().any(|pid| is_running(pid)));
+    assert!(ended, "a process of {started:?} runs on");
+}
