--- a/tools/soak/src/judge.rs
+++ b/tools/soak/src/judge.rs
@@ -5,7 +5,7 @@
 
 use crate::record::{End, Record, Sent};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     fmt,
 };
 
@@ -101,6 +101,8 @@
     arrived: HashMap<&'a str, Vec<usize>>,
     /// Text and runner of what runners made, by try.
     made: HashMap<&'a str, Vec<(&'a str, &'a str)>>,
+    /// Tries and runners whose answer had neither length nor chunks.
+    unframed: HashSet<(&'a str, &'a str)>,
     /// When processes were killed, stopped or started.
     faults: Vec<(u64, &'a str)>,
 }
@@ -164,6 +166,9 @@
                 ran: *ran,
                 status: *status,
             }),
+            Record::Unframed { attempt, runner } => {
+                self.unframed.insert((attempt, runner));
+            }
             Record::Made {
                 attempt,
                 runner,
--- a/tools/soak/src/judge/streams.rs
+++ b/tools/soak/src/judge/streams.rs
@@ -74,8 +74,11 @@
         let (id, last) = before.as_ref().map_or((0, 1), |(e, _)| (e.id, e.last));
         if id < last {
             let runner = before.as_ref().map_or("no runner", |(e, _)| e.runner);
+            let is_unframed = case.unframed.contains(&(attempt, runner));
+            let framing = if is_unframed { "without" } else { "with" };
             let what = format!(
-                "{attempt} ended as whole behind event {id} of {last} of {runner}, rest {rest:?}"
+                "{attempt} ended as whole behind event {id} of {last} of {runner}, whose answer \
+                 was {framing} length or chunks; rest {rest:?}"
             );
             verdict.find(Promise::Order, what);
             return;
--- a/tools/soak/src/record.rs
+++ b/tools/soak/src/record.rs
@@ -103,6 +103,13 @@
         /// The status with which the runner answers, 0 if it breaks off before the head.
         status: u16,
     },
+    /// A runner is about to send a stream whose end only the end of the connection tells.
+    Unframed {
+        /// The try.
+        attempt: String,
+        /// The incarnation of the runner.
+        runner: String,
+    },
     /// A runner is about to send an event, or the body of an answer.
     Made {
         /// The try.
--- a/tools/soak/src/runner/requests.rs
+++ b/tools/soak/src/runner/requests.rs
@@ -248,6 +248,12 @@
         )
     };
     let settings = &runner.settings;
+    if is_unframed {
+        runner.note(&Record::Unframed {
+            attempt: request.attempt.clone(),
+            runner: settings.id.clone(),
+        });
+    }
     let last = last_event(request.head.word(1));
     let first = after.filter(|_| !is_anew).unwrap_or(0) + 1;
     let framing = if is_unframed {
--- a/tools/soak/tests/judge.rs
+++ b/tools/soak/tests/judge.rs
@@ -110,6 +110,14 @@
         self.made(attempt, &text).received(attempt, &text)
     }
 
+    fn unframed(mut self, attempt: &str) -> Self {
+        self.0.push(Record::Unframed {
+            attempt: attempt.to_owned(),
+            runner: "r1".to_owned(),
+        });
+        self
+    }
+
     fn ended(mut self, attempt: &str, end: End, body: &str) -> Self {
         self.0.push(Record::Ended {
             at: 3,
@@ -253,7 +261,11 @@
         => Order, "joined two runs";
     a_clean_end_before_the_last_event_is_seen:
         whole_stream(Case::default().stream("a"), "a", 1..=4).ended("a", End::Whole, "")
-        => Order, "behind event 4 of 5";
+        => Order, "behind event 4 of 5 of r1, whose answer was with length";
+    an_orderly_end_of_a_connection_before_the_last_event_is_seen:
+        whole_stream(Case::default().stream("a").unframed("a"), "a", 1..=4)
+            .ended("a", End::Whole, "")
+        => Order, "behind event 4 of 5 of r1, whose answer was without length";
     a_clean_end_before_the_first_event_is_seen:
         Case::default().stream("a").ended("a", End::Whole, "") => Order, "behind event 0";
     a_take_up_that_goes_back_is_seen:
