--- a/tests/requests/joins.rs
+++ b/tests/requests/joins.rs
@@ -6,8 +6,9 @@
     fleet::{Call, Fleet, Setup, short_stall},
     scripted::{Kind, Received, Scripted, Step},
 };
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http_body_util::BodyExt;
-use std::time::Duration;
+use std::{io::ErrorKind, time::Duration};
 
 /// The number of events that the first upstream sends.
 const SENT: u64 = 3;
@@ -154,6 +155,32 @@
     }
 }
 
+/// Sends a completion in a version of HTTP without chunks, and returns what arrives and
+/// how the connection ends.
+async fn send_without_chunks(fleet: &Fleet) -> (String, Result<(), ErrorKind>) {
+    let body = r#"{"model":"caption","prompt":"p","max_tokens":6,"stream":true}"#;
+    let request = format!(
+        "POST /v1/completions HTTP/1.0\r\nhost: h\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        fleet.key.reveal(),
+        body.len()
+    );
+    let stream = async_net::TcpStream::connect(fleet.routers[0].callers()).await;
+    let mut stream = stream.expect("the router accepts connections");
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the connection is open");
+    let mut received = Vec::new();
+    let mut part = [0; 4096];
+    let ending = loop {
+        match stream.read(&mut part).await {
+            Ok(0) => break Ok(()),
+            Ok(count) => received.extend_from_slice(&part[..count]),
+            Err(error) => break Err(error.kind()),
+        }
+    };
+    (String::from_utf8_lossy(&received).into_owned(), ending)
+}
+
 /// Asserts that a second upstream's answer is not joined to a stream, which goes on
 /// at a third attempt.
 async fn assert_not_joined(answer: fn(&Received) -> Vec<Step>) {
@@ -290,6 +317,22 @@
         assert_eq!(response.text().replace(": wait\n\n:\n\n", ""), rest(0), "{received:#?}");
     }
 
+    // Guards against a stream that looks complete to a caller whose version of HTTP has no
+    // chunks, and that ends with its connection.
+    a_stream_that_breaks_off_is_reset_for_a_caller_without_chunks {
+        let (fleet, _scripted) = start(|received| broken(received, Ending::Closed)).await;
+        let (text, ending) = send_without_chunks(&fleet).await;
+        assert!(text.starts_with("HTTP/1.0 200 OK"), "{text}");
+        assert_eq!(ending, Err(ErrorKind::ConnectionReset), "{text}");
+    }
+
+    a_whole_stream_is_not_reset_for_a_caller_without_chunks {
+        let (fleet, _scripted) = start(resumed).await;
+        let (text, ending) = send_without_chunks(&fleet).await;
+        assert!(text.ends_with(&rest(0)), "{text}");
+        assert_eq!(ending, Ok(()));
+    }
+
     // Guards against a resumption that is given up for an interim answer.
     a_stream_is_resumed_behind_an_interim_answer {
         let (fleet, scripted) = start(|received| {
