Reset the connection of a caller without chunks if its response breaks off

What callers saw: with HTTP/1.0, a stream or body that broke off ended like a whole one. Cause: hyper closes the connection after a failed body in order, and without chunks or a length the end of the connection is the end of the response. Gateways and routers share the listener. Evidence, on the code before: joins::a_stream_that_breaks_off_is_reset_for_a_caller_ without_chunks, 'left: Ok(()), right: Err(ConnectionReset)'. Why the fix works: while a body is being sent without chunks, the socket has a linger time of zero, so that closing it resets the connection; it is taken back once the body has ended. The kernel does the same for a killed process, which no test here shows yet. The case passes, and the one of a whole stream.

--- a/crates/sequoiawing_http/src/deferred_error.rs
+++ b/crates/sequoiawing_http/src/deferred_error.rs
@@ -1,4 +1,4 @@
-use crate::{Body, BodyError, error_response::RequestGuard};
+use crate::{Body, BodyError, error_response::RequestGuard, reset_guard::ResetGuard};
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use std::{
@@ -15,15 +15,18 @@
 pub(crate) struct DeferredErrorBody {
     body: Body,
     error: Option<BodyError>,
+    /// Present if the response has no chunks.
+    reset: Option<ResetGuard>,
     /// Counts the request as open until its response is written.
     _guard: RequestGuard,
 }
 
 impl DeferredErrorBody {
-    pub(crate) fn new(body: Body, guard: RequestGuard) -> Self {
+    pub(crate) fn new(body: Body, guard: RequestGuard, reset: Option<ResetGuard>) -> Self {
         Self {
             body,
             error: None,
+            reset,
             _guard: guard,
         }
     }
@@ -42,6 +45,9 @@
         }
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         let Poll::Ready(Some(Err(error))) = polled else {
+            if let (Some(reset), Poll::Ready(frame)) = (&mut self.reset, &polled) {
+                reset.arm(frame.is_some());
+            }
             return polled;
         };
         self.error = Some(error);
@@ -57,3 +63,12 @@
         self.body.size_hint()
     }
 }
+
+impl Drop for DeferredErrorBody {
+    fn drop(&mut self) {
+        let is_whole = self.is_end_stream();
+        if let Some(reset) = self.reset.as_mut().filter(|_| is_whole) {
+            reset.arm(false);
+        }
+    }
+}
--- a/crates/sequoiawing_http/src/lib.rs
+++ b/crates/sequoiawing_http/src/lib.rs
@@ -10,6 +10,7 @@
 mod headers;
 mod idle_pool;
 mod listener;
+mod reset_guard;
 mod socket;
 mod sse;
 mod stall;
--- a/crates/sequoiawing_http/src/listener.rs
+++ b/crates/sequoiawing_http/src/listener.rs
@@ -2,13 +2,15 @@
     Body,
     deferred_error::DeferredErrorBody,
     error_response::{ErrorResponseStream, InFlightRequests},
+    reset_guard::ResetGuard,
     socket::Socket,
     stall::StallGuard,
 };
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    Request, Response, StatusCode, Version, body::Incoming, server::conn::http1,
+    service::service_fn,
 };
 use rustix::net::sockopt::set_socket_send_buffer_size;
 use sequoiawing_runtime::{Shutdown, sleep, spawn, timeout};
@@ -221,17 +223,20 @@
     let Some(stream) = handler.accept(stream).await else {
         return;
     };
+    let connection = stream.clone();
     let socket = StallGuard::new(Socket::new(stream), settings.stall_timeout);
     let requests = InFlightRequests::default();
     let error_handler = handler.clone();
     let error_response = move |status| error_handler.parse_error_response(status);
     let stream = ErrorResponseStream::new(socket, requests.clone(), error_response);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
         let handler = handler.clone();
         let guard = requests.begin();
+        let has_chunks = request.version() != Version::HTTP_10;
+        let reset = (!has_chunks).then(|| ResetGuard::new(connection.clone()));
         async move {
             let response = handler.handle(request).await;
-            Ok::<_, Infallible>(response.map(|body| DeferredErrorBody::new(body, guard)))
+            Ok::<_, Infallible>(response.map(|body| DeferredErrorBody::new(body, guard, reset)))
         }
     });
     let connection = http1::Builder::new()
