--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     GatewayExchange, GatewayState,
-    attempt::{AttemptError, UpstreamResponse, send},
+    attempt::{AttemptError, UpstreamResponse, describe_answer, send},
     hedge::{Race, Winner},
     retry_budget::RetryCause,
     slots::{Slot, SlotSearch},
@@ -148,17 +148,18 @@
             let mut hedge = Hedge::new(self.state.now(), settings, self.attempts);
             let assignment = source.slot.assignment.clone();
             let last_event_id = self.position.last_id();
-            let (stream, position) = (&mut source.stream, &mut self.position);
+            let (source, position) = (source.as_mut(), &mut self.position);
+            let state = &self.state;
             let mut broken = None;
             let first = async {
-                let read = stream.read(position).await;
+                let read = source.read(state, position).await;
                 if let Err(cause) = &read {
                     broken = Some(cause.clone());
                 }
                 read.map_err(AttemptError::MayHaveRun)
             };
             let race = Race {
-                state: &self.state,
+                state,
                 exchange: &self.exchange,
                 request: &mut self.request,
                 assignment: &assignment,
@@ -181,7 +182,7 @@
                     self.resume_from(source);
                 }
                 Ok(Winner::Second(UpstreamResponse::Buffered(parts, _))) => {
-                    return Err(format!("status {}", parts.status));
+                    return Err(describe_answer(&parts));
                 }
                 Err(error) => return Err(error.first.to_string()),
             }
@@ -283,7 +284,7 @@
                     self.resume_from(source);
                     return true;
                 }
-                UpstreamResponse::Buffered(parts, _) => format!("status {}", parts.status),
+                UpstreamResponse::Buffered(parts, _) => describe_answer(&parts),
             },
             Err(error) => error.first.to_string(),
         };
--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -95,32 +95,30 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<ClientBody>, ClientError> {
-        self.send_reusing(address, request, None).await
+        self.send_prepared(address, request, None, |_| {}).await
     }
 
-    /// Sends a request like [`send`](Self::send), but on no connection on which a request
-    /// with the same ID was refused; see [`ClientBody::record_refusal`].
+    /// Sends a request like [`Client::send`], but on no connection on which a request with
+    /// the same `id` was refused; see [`ClientBody::record_refusal`]. `prepare` sets what
+    /// depends on the time, such as a header with the time that is left; it is called when
+    /// a connection is open, again for each connection that turns out to be closed.
     ///
     /// # Errors
     ///
     /// Returns an error that tells whether any part of the request was sent.
-    pub async fn send_with_id(
-        &self,
-        address: SocketAddr,
-        request: Request<Body>,
-        id: &str,
-    ) -> Result<Response<ClientBody>, ClientError> {
-        self.send_reusing(address, request, Some(id)).await
-    }
-
-    async fn send_reusing(
+    pub async fn send_prepared<P>(
         &self,
         address: SocketAddr,
         request: Request<Body>,
         id: Option<&str>,
-    ) -> Result<Response<ClientBody>, ClientError> {
+        prepare: P,
+    ) -> Result<Response<ClientBody>, ClientError>
+    where
+        P: Fn(&mut Request<Body>),
+    {
         let mut request = request;
         while let Some((mut sender, refusals)) = self.idle_pool.take(address, id) {
+            prepare(&mut request);
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     return Ok(self.attach_connection(address, sender, refusals, response));
@@ -131,7 +129,8 @@
                 },
             }
         }
-        self.send_on_new_connection(address, request).await
+        self.send_prepared_on_new_connection(address, request, prepare)
+            .await
     }
 
     /// Sends a request on a new connection and waits for the status and headers
@@ -149,7 +148,28 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<ClientBody>, ClientError> {
+        self.send_prepared_on_new_connection(address, request, |_| {})
+            .await
+    }
+
+    /// Sends a request like [`Client::send_on_new_connection`]; `prepare` is called when
+    /// the connection is open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether any part of the request was sent.
+    pub async fn send_prepared_on_new_connection<P>(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        prepare: P,
+    ) -> Result<Response<ClientBody>, ClientError>
+    where
+        P: Fn(&mut Request<Body>),
+    {
+        let mut request = request;
         let mut sender = self.connect(address).await?;
+        prepare(&mut request);
         match sender.try_send_request(request).await {
             Ok(response) => {
                 Ok(self.attach_connection(address, sender, Refusals::default(), response))
--- a/crates/sequoiawing_http/src/lib.rs
+++ b/crates/sequoiawing_http/src/lib.rs
@@ -10,7 +10,6 @@
 mod headers;
 mod idle_pool;
 mod listener;
-mod reset_guard;
 mod socket;
 mod sse;
 mod stall;
