Origins of streams are reported at once while a pool has several versions

Before, the report waited for the next regular one, up to 250 ms; it now goes out at once if the pool has an upstream of another or an unknown version.

--- a/crates/sequoiawing_gateway/src/stream_origins.rs
+++ b/crates/sequoiawing_gateway/src/stream_origins.rs
@@ -92,6 +92,12 @@
         let mut own = self.origins.own.lock();
         own.record(self.now(), attempt, &software);
         drop(own);
+        let balancer = self.balancer.lock();
+        let is_urgent = balancer.has_other_software(&exchange.pool, &software);
+        drop(balancer);
+        if is_urgent {
+            self.urgent_report.notify(usize::MAX);
+        }
         log::debug!(
             target: "gateway", request = exchange.meta.id.as_str(),
             upstream = assignment.name.as_str(), software = software.to_string();
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -272,6 +272,14 @@
         due.map(|(_, ready)| *ready).min()
     }
 
+    /// Returns whether a pool has an upstream that is not certain to have a software
+    /// version.
+    pub fn has_other_software(&self, pool: &Name, software: &SoftwareVersion) -> bool {
+        let keys = self.pools.get(pool).into_iter().flatten();
+        let mut states = keys.map(|key| &self.upstreams[*key].state);
+        states.any(|state| !software.is_of(state))
+    }
+
     /// Returns the upstreams of other data centres, with their addresses.
     pub fn remote_upstreams(&self, centre: &Name) -> Vec<(Name, SocketAddr)> {
         let states = self.upstreams.values().map(|upstream| &upstream.state);
--- a/crates/sequoiawing_policy/tests/software_versions.rs
+++ b/crates/sequoiawing_policy/tests/software_versions.rs
@@ -92,6 +92,31 @@
         |a: Start| a("a", 1, Some("")), [|_: Start, b: Other| b(Some("v1"))] => None;
 }
 
+macro_rules! mixed {
+    ($($name:ident: [$($software:expr),*] => $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut balancer = Balancer::default();
+            let versions: &[Option<&str>] = &[$($software),*];
+            for (epoch, software) in (1..).zip(versions) {
+                let state = Arc::new(upstream(&format!("u{epoch}"), epoch, *software));
+                balancer.update(&RosterEntry { state, gone: false });
+            }
+            let pool = Name::from("pool");
+            assert_eq!(balancer.has_other_software(&pool, &announced("v1")), $expected);
+        }
+    )*};
+}
+
+// Guard against origins that wait for the next regular report while a pool has several
+// software versions: a stream whose gateway dies before is refused.
+mixed! {
+    a_pool_of_one_version_is_not_mixed: [Some("v1"), Some("v1")] => false;
+    a_pool_of_two_versions_is_mixed: [Some("v1"), Some("v2")] => true;
+    a_pool_with_an_unknown_version_is_mixed: [Some("v1"), None] => true;
+    an_empty_pool_is_not_mixed: [] => false;
+}
+
 #[test]
 fn an_origin_is_known_until_it_expires() {
     let mut origins = StreamOrigins::default();
