--- a/tools/soak/src/judge/streams.rs
+++ b/tools/soak/src/judge/streams.rs
@@ -73,8 +73,10 @@
         verdict.check(Promise::Order);
         let (id, last) = before.as_ref().map_or((0, 1), |(e, _)| (e.id, e.last));
         if id < last {
-            let runner = before.as_ref().map_or("no runner", |(e, _)| e.runner);
-            let is_unframed = case.unframed.contains(&(attempt, runner));
+            let answering = case.arrivals_of(attempt).filter(|a| a.ran).last();
+            let is_unframed =
+                answering.is_some_and(|a| case.unframed.contains(&(attempt, a.runner)));
+            let runner = answering.map_or("no runner", |a| a.runner);
             let framing = if is_unframed { "without" } else { "with" };
             let what = format!(
                 "{attempt} ended as whole behind event {id} of {last} of {runner}, whose answer \
--- a/tools/soak/tests/judge.rs
+++ b/tools/soak/tests/judge.rs
@@ -266,6 +266,9 @@
         whole_stream(Case::default().stream("a").unframed("a"), "a", 1..=4)
             .ended("a", End::Whole, "")
         => Order, "behind event 4 of 5 of r1, whose answer was without length";
+    an_orderly_end_of_a_connection_before_the_first_event_is_seen:
+        Case::default().stream("a").unframed("a").ended("a", End::Whole, "")
+        => Order, "behind event 0 of 1 of r1, whose answer was without length";
     a_clean_end_before_the_first_event_is_seen:
         Case::default().stream("a").ended("a", End::Whole, "") => Order, "behind event 0";
     a_take_up_that_goes_back_is_seen:
