--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -33,6 +33,12 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The program sequoiawing-platform, if not beside this one"),
         )
+        .arg(
+            Arg::new("former")
+                .long("former")
+                .value_parser(value_parser!(PathBuf))
+                .help("The build of it that runs until a process is started again"),
+        )
         .arg(
             Arg::new("logs")
                 .long("logs")
@@ -85,6 +91,7 @@
                     .get_one::<PathBuf>("platform")
                     .cloned()
                     .unwrap_or_else(beside),
+                former: args.get_one::<PathBuf>("former").cloned(),
                 logs: args.get_one::<PathBuf>("logs").expect("a default").clone(),
             })
         }
--- a/tools/soak/src/processes.rs
+++ b/tools/soak/src/processes.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Changes the program for the next starts.
+    pub(crate) fn set_program(&mut self, program: &Path) {
+        program.clone_into(&mut self.program);
+    }
+
     pub(crate) fn set_args(&mut self, args: Vec<String>) {
         self.args = args;
     }
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -37,6 +37,9 @@
     pub callers: usize,
     /// The program of gateways and controllers.
     pub platform: PathBuf,
+    /// The build with which they start first, if not the same: each restart brings the
+    /// other one, as in an upgrade.
+    pub former: Option<PathBuf>,
     /// Where the folder of the seed is made.
     pub logs: PathBuf,
 }
@@ -78,11 +81,15 @@
     fs::create_dir_all(&folder)?;
     let folder = folder.canonicalize()?;
     let size = &settings.size;
-    let deployment = Deployment::start(&settings.platform, folder.clone(), size, &BOUNDS)?;
+    let first = settings.former.as_ref().unwrap_or(&settings.platform);
+    let deployment = Deployment::start(first, folder.clone(), size, &BOUNDS)?;
     let deployment = Arc::new(deployment);
     timeout(START_LIMIT, deployment.wait_until_serving())
         .await
         .ok_or_else(|| io::Error::other("the processes did not serve in time"))?;
+    for process in deployment.controllers.iter().chain(&deployment.gateways) {
+        process.lock().set_program(&settings.platform);
+    }
     let callers = Arc::new(Callers {
         gateways: (0..size.gateways).map(|i| deployment.callers(i)).collect(),
         rotation: (0..size.gateways).map(|_| AtomicBool::new(true)).collect(),
