--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -7,7 +7,7 @@
     source::{EventStream, Source},
 };
 use bytes::Bytes;
-use hyper::{Request, Response, Uri, http::response::Parts};
+use hyper::{Request, Response, StatusCode, Uri, header::CONTENT_TYPE, http::response::Parts};
 use sequoiawing_catalog::RetryPolicy;
 use sequoiawing_http::{Body, BodyFraming, ClientBody, ClientError, empty, from_bytes};
 use sequoiawing_policy::serving::AttemptOutcome;
@@ -36,7 +36,7 @@
     #[error("{0}")]
     MayHaveRun(String),
     /// The upstream answered a request that may be retried with an error.
-    #[error("status {}", .0.status)]
+    #[error("{}", describe_answer(.0))]
     ServerError(Box<Parts>, Bytes),
     /// The request's deadline passed; it may have run.
     #[error("the request's deadline has passed")]
@@ -92,6 +92,30 @@
     }
 }
 
+/// Returns whether the body behind a head consists of events. Upstreams may leave out
+/// its type.
+fn is_event_stream(parts: &Parts) -> bool {
+    if parts.status != StatusCode::OK {
+        return false;
+    }
+    let Some(content_type) = parts.headers.get(CONTENT_TYPE) else {
+        return true;
+    };
+    let mut fields = content_type.as_bytes().split(|b| *b == b';');
+    let essence = fields.next().unwrap_or_default().trim_ascii();
+    essence.eq_ignore_ascii_case(b"text/event-stream")
+}
+
+/// Describes an answer with which a stream cannot go on.
+pub(crate) fn describe_answer(parts: &Parts) -> String {
+    let content_type = parts.headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    match content_type {
+        Some(content_type) => format!("status {}, {content_type}", parts.status.as_u16()),
+        None => format!("status {}", parts.status.as_u16()),
+    }
+}
+
 enum Received {
     Stream(Parts, ClientBody),
     Buffered(Parts, Bytes),
@@ -103,15 +127,30 @@
     slot: &mut Slot,
     last_event_id: Option<u64>,
 ) -> Result<Received, AttemptError> {
-    let request = build_request(state, exchange, slot, last_event_id)?;
+    let request = build_request(exchange)?;
+    let prepare = |request: &mut Request<Body>| {
+        let attempt = Attempt {
+            upstream: slot.upstream(),
+            remaining: exchange.remaining(state.now()),
+            customer: exchange.customer.as_ref().map(|c| &c.name),
+            urgency: exchange.urgency(),
+            last_event_id: last_event_id.or(exchange.meta.last_event_id),
+        };
+        let headers = request.headers_mut();
+        state.dialect.add_attempt_headers(headers, &attempt);
+    };
+    let client = &state.client;
     let address = slot.assignment.address;
     let repeat = exchange.route.repeat;
     // The upstream may close a pooled connection while the request is being
     // sent, which leaves unknown whether the request ran.
     let sent = if repeat == RetryPolicy::Once {
-        state.client.send_on_new_connection(address, request).await
+        client
+            .send_prepared_on_new_connection(address, request, prepare)
+            .await
     } else {
-        state.client.send(address, request).await
+        let id = Some(exchange.meta.id.as_str());
+        client.send_prepared(address, request, id, prepare).await
     };
     let response = sent.map_err(|error| match error {
         ClientError::NotSent(cause) => AttemptError::NotSent(cause),
@@ -120,7 +159,7 @@
             AttemptError::MayHaveRun(error.to_string())
         }
     })?;
-    let (parts, body) = response.into_parts();
+    let (parts, mut body) = response.into_parts();
     let head = state.dialect.classify(
         &exchange.meta,
         slot.upstream(),
@@ -144,15 +183,21 @@
             ));
         }
         kind => {
+            body.record_refusal(exchange.meta.id.as_str());
             drain(body);
             return Err(AttemptError::NotRun(kind));
         }
     }
-    if repeat.is_stream() && parts.status.is_success() {
+    if repeat.is_stream() && is_event_stream(&parts) {
         return Ok(Received::Stream(parts, body));
     }
     match state.bodies.read(body).await {
         Ok(bytes) => {
+            let framing = BodyFraming::of(parts.status, &parts.headers);
+            if let Err(cause) = state.check_answer_end(slot, framing).await {
+                state.record_broken_answer(exchange, slot);
+                return Err(AttemptError::MayHaveRun(cause));
+            }
             if parts.status.is_success() {
                 state.record_complete_answer(exchange);
             }
@@ -167,12 +212,7 @@
     }
 }
 
-fn build_request(
-    state: &GatewayState,
-    exchange: &GatewayExchange,
-    slot: &Slot,
-    last_event_id: Option<u64>,
-) -> Result<Request<Body>, AttemptError> {
+fn build_request(exchange: &GatewayExchange) -> Result<Request<Body>, AttemptError> {
     let path = exchange.uri.path_and_query().map_or("/", |p| p.as_str());
     let uri: Uri = path
         .parse()
@@ -186,16 +226,6 @@
     *request.method_mut() = exchange.method.clone();
     *request.uri_mut() = uri;
     *request.headers_mut() = exchange.headers.clone();
-    let attempt = Attempt {
-        upstream: slot.upstream(),
-        remaining: exchange.remaining(state.now()),
-        customer: exchange.customer.as_ref().map(|c| &c.name),
-        urgency: exchange.urgency(),
-        last_event_id: last_event_id.or(exchange.meta.last_event_id),
-    };
-    state
-        .dialect
-        .add_attempt_headers(request.headers_mut(), &attempt);
     Ok(request)
 }
 
