Links refuse connections while the runner behind them does not run

A kernel refuses them. Findings also say whether the runner lived and ended its answer without length itself, which no gateway can tell from a whole answer.

--- a/tools/soak/src/judge.rs
+++ b/tools/soak/src/judge.rs
@@ -103,6 +103,8 @@
     made: HashMap<&'a str, Vec<(&'a str, &'a str)>>,
     /// Tries and runners whose answer had neither length nor chunks.
     unframed: HashSet<(&'a str, &'a str)>,
+    /// Tries and runners that ended the stream themselves before its last event.
+    stopped: HashSet<(&'a str, &'a str)>,
     /// When processes were killed, stopped or started.
     faults: Vec<(u64, &'a str)>,
 }
@@ -169,6 +171,9 @@
             Record::Unframed { attempt, runner } => {
                 self.unframed.insert((attempt, runner));
             }
+            Record::Stopped { attempt, runner } => {
+                self.stopped.insert((attempt, runner));
+            }
             Record::Made {
                 attempt,
                 runner,
--- a/tools/soak/src/judge/streams.rs
+++ b/tools/soak/src/judge/streams.rs
@@ -74,13 +74,18 @@
         let (id, last) = before.as_ref().map_or((0, 1), |(e, _)| (e.id, e.last));
         if id < last {
             let answering = case.arrivals_of(attempt).filter(|a| a.ran).last();
-            let is_unframed =
-                answering.is_some_and(|a| case.unframed.contains(&(attempt, a.runner)));
             let runner = answering.map_or("no runner", |a| a.runner);
+            let is_unframed = case.unframed.contains(&(attempt, runner));
             let framing = if is_unframed { "without" } else { "with" };
+            let is_stopped = case.stopped.contains(&(attempt, runner));
+            let by = if is_stopped {
+                "; the runner lived and ended it"
+            } else {
+                ""
+            };
             let what = format!(
                 "{attempt} ended as whole behind event {id} of {last} of {runner}, whose answer \
-                 was {framing} length or chunks; rest {rest:?}"
+                 was {framing} length or chunks{by}; rest {rest:?}"
             );
             verdict.find(Promise::Order, what);
             return;
--- a/tools/soak/src/links.rs
+++ b/tools/soak/src/links.rs
@@ -29,30 +29,75 @@
     Late(u64),
 }
 
+/// The pause before a listener is bound again that could not be bound.
+const BIND_RETRY: Duration = Duration::from_millis(5);
+
 /// A link from one process to another.
-pub(crate) struct Link(Watch<LinkState>);
+pub(crate) struct Link {
+    state: Watch<LinkState>,
+    is_up: Watch<bool>,
+}
 
 impl Link {
     /// Starts a link that listens at `address` and forwards to `target`.
     pub(crate) fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
-        let listener = std::net::TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
-        let listener = TcpListener::try_from(listener)?;
-        let state: Watch<LinkState> = Watch::new(LinkState::Open);
-        let shared = state.clone();
+        let listener = listen(address)?;
+        let link = Self {
+            state: Watch::new(LinkState::Open),
+            is_up: Watch::new(true),
+        };
+        let (state, is_up) = (link.state.clone(), link.is_up.clone());
         spawn(async move {
+            let mut listener = listener;
             loop {
-                if let Ok((near, _)) = listener.accept().await {
-                    spawn(forward(near, target, shared.clone())).detach();
-                }
+                accept_while_up(listener, target, &state, &is_up).await;
+                is_up.wait_until(|up| *up).await;
+                listener = loop {
+                    match listen(address) {
+                        Ok(listener) => break listener,
+                        Err(_) => sleep(BIND_RETRY).await,
+                    }
+                };
             }
         })
         .detach();
-        Ok(Self(state))
+        Ok(link)
     }
 
     pub(crate) fn set(&self, state: LinkState) {
-        self.0.set(state);
+        self.state.set(state);
+    }
+
+    /// Refuses connections while the process at the other end does not run, as its
+    /// kernel does.
+    pub(crate) fn set_up(&self, is_up: bool) {
+        self.is_up.set(is_up);
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::try_from(listener)
+}
+
+async fn accept_while_up(
+    listener: TcpListener,
+    target: SocketAddr,
+    state: &Watch<LinkState>,
+    is_up: &Watch<bool>,
+) {
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let down = async {
+            is_up.wait_until(|up| !*up).await;
+            None
+        };
+        match down.or(accepted).await {
+            Some(Ok((near, _))) => spawn(forward(near, target, state.clone())).detach(),
+            Some(Err(_)) => {}
+            None => return,
+        }
     }
 }
 
--- a/tools/soak/src/record.rs
+++ b/tools/soak/src/record.rs
@@ -110,6 +110,13 @@
         /// The incarnation of the runner.
         runner: String,
     },
+    /// A runner that goes on running ends a stream before its last event, in an orderly way.
+    Stopped {
+        /// The try.
+        attempt: String,
+        /// The incarnation of the runner.
+        runner: String,
+    },
     /// A runner is about to send an event, or the body of an answer.
     Made {
         /// The try.
--- a/tools/soak/src/run/deployment.rs
+++ b/tools/soak/src/run/deployment.rs
@@ -258,12 +258,21 @@
         let text = serde_json::to_string(&*settings)?;
         let mut process = runner.process.lock();
         process.set_args(vec!["runner".to_owned(), text]);
-        process.start()
+        process.start()?;
+        self.set_up(i, true);
+        Ok(())
+    }
+
+    fn set_up(&self, runner: usize, is_up: bool) {
+        for links in &self.runner_links {
+            links[runner].set_up(is_up);
+        }
     }
 
     /// Kills a runner and returns its identity.
     pub(super) fn kill_runner(&self, i: usize) -> String {
         self.runners[i].process.lock().kill();
+        self.set_up(i, false);
         self.runner_id(i)
     }
 
--- a/tools/soak/src/runner/requests.rs
+++ b/tools/soak/src/runner/requests.rs
@@ -287,6 +287,10 @@
         );
         let is_break = id > first + 2;
         if is_break && is_early && is_unframed {
+            runner.note(&Record::Stopped {
+                attempt: request.attempt.clone(),
+                runner: settings.id.clone(),
+            });
             return Ok(false);
         }
         let message = format!("{text}\n\n");
--- a/tools/soak/tests/judge.rs
+++ b/tools/soak/tests/judge.rs
@@ -118,6 +118,14 @@
         self
     }
 
+    fn stopped(mut self, attempt: &str) -> Self {
+        self.0.push(Record::Stopped {
+            attempt: attempt.to_owned(),
+            runner: "r1".to_owned(),
+        });
+        self
+    }
+
     fn ended(mut self, attempt: &str, end: End, body: &str) -> Self {
         self.0.push(Record::Ended {
             at: 3,
@@ -269,6 +277,10 @@
     an_orderly_end_of_a_connection_before_the_first_event_is_seen:
         Case::default().stream("a").unframed("a").ended("a", End::Whole, "")
         => Order, "behind event 0 of 1 of r1, whose answer was without length";
+    an_early_end_by_a_living_runner_is_seen:
+        whole_stream(Case::default().stream("a").unframed("a").stopped("a"), "a", 1..=4)
+            .ended("a", End::Whole, "")
+        => Order, "the runner lived and ended it";
     a_clean_end_before_the_first_event_is_seen:
         Case::default().stream("a").ended("a", End::Whole, "") => Order, "behind event 0";
     a_take_up_that_goes_back_is_seen:
