--- a/tools/soak/tests/seeded.rs
+++ b/tools/soak/tests/seeded.rs
@@ -55,6 +55,8 @@
 seeds! {
     // Each start of a gateway had a new share of the slack while runners refused.
     gateways_restarted_in_series_keep_the_budget: 3, 50;
+    // Streams of killed runners without length ended as whole before their last event.
+    killed_runners_end_no_stream_as_whole: 1, 50;
     // Streams went on at another software version, and ended as whole before their end.
     replaced_runners_break_no_stream: 4, 50;
 }
