Pass on streams whose numbers are sparse

Found by reading, with tests that failed on that code (sparse_numbers_pass: passed "id: 5", out_of_order(5, 10)).

Where the first two events of a fresh stream lie further apart than one, only a number that does not increase shows a fault. All other streams are judged as before: a stream of one event that is resumed, and one that a caller takes up, must go on with the next number. no_number_is_left_out now leaves out the third number, since 1, 3 may be sparse.

--- a/crates/sequoiawing_gateway/src/stream_position.rs
+++ b/crates/sequoiawing_gateway/src/stream_position.rs
@@ -13,7 +13,7 @@
     /// It is too long.
     #[error(transparent)]
     TooLong(#[from] EventTooLong),
-    /// It is not the one after the last.
+    /// It does not follow the last.
     #[error("event {id} came behind event {last}")]
     OutOfOrder {
         /// The ID of the last event that was passed on.
@@ -40,13 +40,41 @@
     NoEvent,
 }
 
+/// The distance between the IDs of two events. IDs increase, and usually by one; where
+/// the first two of a stream lie further apart, a gap does not show a lost event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Spacing {
+    /// The stream has one event so far.
+    Unknown,
+    Consecutive,
+    Sparse,
+}
+
+impl Spacing {
+    fn allows(self, last: u64, id: u64) -> bool {
+        let is_next = last.checked_add(1) == Some(id);
+        match self {
+            Self::Consecutive => is_next,
+            Self::Unknown | Self::Sparse => id > last,
+        }
+    }
+
+    fn behind(self, last: u64, id: u64) -> Self {
+        match self {
+            Self::Unknown if last.checked_add(1) == Some(id) => Self::Consecutive,
+            Self::Unknown => Self::Sparse,
+            known => known,
+        }
+    }
+}
+
 /// How the events of a stream are numbered.
 #[derive(Clone, Copy, Debug)]
 enum Numbering {
     /// No event is known.
     Unknown,
-    /// The caller has the events up to this ID.
-    Numeric(u64),
+    /// The caller has the events up to the ID `last`.
+    Numeric { last: u64, spacing: Spacing },
     /// The IDs are no numbers, so that the stream cannot be resumed.
     Absent,
 }
@@ -77,7 +105,10 @@
     pub(crate) fn new(last_event_id: Option<u64>) -> Self {
         Self {
             splitter: SseSplitter::default(),
-            numbering: last_event_id.map_or(Numbering::Unknown, Numbering::Numeric),
+            numbering: last_event_id.map_or(Numbering::Unknown, |last| Numbering::Numeric {
+                last,
+                spacing: Spacing::Consecutive,
+            }),
             count: 0,
             part_count: 0,
             first_id: None,
@@ -125,18 +156,26 @@
         }
         let id = event.id();
         match (self.numbering, id) {
-            (Numbering::Numeric(last), EventId::Number(id)) if last.checked_add(1) != Some(id) => {
-                return Err(EventError::OutOfOrder { last, id });
+            (Numbering::Numeric { last, spacing }, EventId::Number(id)) => {
+                if !spacing.allows(last, id) {
+                    return Err(EventError::OutOfOrder { last, id });
+                }
+                let spacing = spacing.behind(last, id);
+                self.numbering = Numbering::Numeric { last: id, spacing };
+                self.first_id = self.first_id.or(Some(id));
             }
-            (Numbering::Numeric(last), EventId::Missing | EventId::Text) if !event.is_done() => {
+            (Numbering::Numeric { last, .. }, EventId::Missing | EventId::Text)
+                if !event.is_done() =>
+            {
                 return Err(EventError::NotNumbered { last });
             }
-            (Numbering::Unknown | Numbering::Numeric(_), EventId::Number(id)) => {
-                self.numbering = Numbering::Numeric(id);
+            (Numbering::Unknown, EventId::Number(id)) => {
+                let spacing = Spacing::Unknown;
+                self.numbering = Numbering::Numeric { last: id, spacing };
                 self.first_id = self.first_id.or(Some(id));
             }
             (Numbering::Unknown, _) => self.numbering = Numbering::Absent,
-            (Numbering::Numeric(_) | Numbering::Absent, _) => {}
+            (Numbering::Numeric { .. } | Numbering::Absent, _) => {}
         }
         self.count += 1;
         self.part_count += 1;
@@ -162,6 +201,12 @@
     /// event is discarded.
     pub(crate) fn begin_part(&mut self) {
         self.splitter.discard_partial();
+        // Nothing shows that the numbers of a single event are sparse.
+        if let Numbering::Numeric { spacing, .. } = &mut self.numbering
+            && *spacing == Spacing::Unknown
+        {
+            *spacing = Spacing::Consecutive;
+        }
         self.part_count = 0;
         self.first_id = None;
         self.is_resumed = true;
@@ -176,7 +221,7 @@
     /// Returns the ID of the last event that the caller has.
     pub(crate) fn last_id(&self) -> Option<u64> {
         match self.numbering {
-            Numbering::Numeric(id) => Some(id),
+            Numbering::Numeric { last, .. } => Some(last),
             Numbering::Unknown | Numbering::Absent => None,
         }
     }
--- a/crates/sequoiawing_gateway/src/stream_position/tests.rs
+++ b/crates/sequoiawing_gateway/src/stream_position/tests.rs
@@ -51,7 +51,13 @@
     a_resumed_stream_leaves_nothing_out: Some(5), "id: 7\n\n" => "", Some(out_of_order(5, 7));
     a_number_does_not_go_back: None, "id: 1\n\nid: 2\n\nid: 1\n\n" => "id: 1\n\nid: 2\n\n", Some(out_of_order(2, 1));
     no_number_comes_twice: None, "id: 1\n\nid: 1\n\n" => "id: 1\n\n", Some(out_of_order(1, 1));
-    no_number_is_left_out: None, "id: 1\n\nid: 3\n\n" => "id: 1\n\n", Some(out_of_order(1, 3));
+    no_number_is_left_out: None, "id: 1\n\nid: 2\n\nid: 4\n\n"
+        => "id: 1\n\nid: 2\n\n", Some(out_of_order(2, 4));
+    sparse_numbers_pass: None, "id: 5\n\nid: 10\n\nid: 12\n\n" => "id: 5\n\nid: 10\n\nid: 12\n\n", None;
+    sparse_numbers_do_not_go_back: None, "id: 5\n\nid: 10\n\nid: 7\n\n"
+        => "id: 5\n\nid: 10\n\n", Some(out_of_order(10, 7));
+    no_sparse_number_comes_twice: None, "id: 5\n\nid: 10\n\nid: 10\n\n"
+        => "id: 5\n\nid: 10\n\n", Some(out_of_order(10, 10));
     the_last_number_has_no_successor: Some(u64::MAX), "id: 0\n\n" => "", Some(out_of_order(u64::MAX, 0));
     the_last_id_of_an_event_counts: Some(5), "id: 6\nid: 9\n\n" => "", Some(out_of_order(5, 9));
     an_event_without_an_id_does_not_follow_a_number: None, "id: 1\n\ndata: b\n\n"
