Refusals of unknown streams name no delay if all hubs have answered

No later time is known to be better once all hubs have answered, so that the refusal now names none; it names 500 ms only if a hub did not answer. The log line says which.

--- a/crates/sequoiawing_gateway/src/stream_origins.rs
+++ b/crates/sequoiawing_gateway/src/stream_origins.rs
@@ -12,7 +12,6 @@
 use sequoiawing_link::{HubClient, Secret, StreamOrigin, Stub};
 use sequoiawing_policy::serving::{Assignment, BalancerRequest, SoftwareVersion, StreamOrigins};
 use sequoiawing_router::{Code, Refused};
-use sequoiawing_runtime::timeout;
 use sequoiawing_types::Name;
 use sha2::{Digest, Sha256};
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
@@ -21,13 +20,20 @@
 /// answer at hand.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The retry delay for callers whose stream has an unknown software version. The report
-/// of the gateway that began it may be on its way.
+/// The retry delay for callers whose stream has an unknown software version, if a hub did
+/// not answer. If all did, no later time is known to be better.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 
 /// The maximum number of streams in one report.
 const MAX_REPORTED: usize = 4_096;
 
+/// What hubs know of the stream of an attempt.
+struct Lookup {
+    software: Option<Name>,
+    /// Whether all hubs that were asked have answered.
+    is_complete: bool,
+}
+
 /// The streams that began at this gateway.
 #[derive(Default)]
 pub(crate) struct OriginRecords {
@@ -125,6 +131,7 @@
         }
         let mut source = "own record";
         let mut found = None;
+        let mut is_complete = true;
         if let Some(id) = &exchange.meta.resumes {
             let attempt = attempt_digest(exchange, id);
             let own = self.origins.own.lock().get(self.now(), attempt).cloned();
@@ -132,8 +139,9 @@
             if found.is_none() {
                 source = "hub";
                 let limit = LOOKUP_TIMEOUT.min(exchange.remaining(self.now()));
-                let asked = timeout(limit, Box::pin(self.ask_hubs(attempt, limit))).await;
-                found = asked.flatten().map(SoftwareVersion::Announced);
+                let lookup = self.ask_hubs(attempt, limit).await;
+                is_complete = lookup.is_complete;
+                found = lookup.software.map(SoftwareVersion::Announced);
             }
         }
         let resumes = exchange.meta.resumes.as_ref().map(Name::as_str);
@@ -142,12 +150,16 @@
             log::info!(
                 target: "gateway", request = exchange.meta.id.as_str(),
                 pool = exchange.pool.as_str(), resumes = resumes, behind = last_event_id,
-                waited_ms = waited;
+                all_hubs = is_complete, waited_ms = waited;
                 "Refused to go on with a stream, since no host knows the software version that began it."
             );
             let problem = "the software version that began the stream is not known";
             let refused = Refused::new(Code::NoUpstream, problem);
-            return Err(refused.with_retry_after(UNKNOWN_RETRY));
+            return Err(if is_complete {
+                refused
+            } else {
+                refused.with_retry_after(UNKNOWN_RETRY)
+            });
         };
         log::info!(
             target: "gateway", request = exchange.meta.id.as_str(),
@@ -158,10 +170,11 @@
         Ok(Some(software))
     }
 
-    /// Asks all hubs which software version began the stream of an attempt; returns the
-    /// first that one knows.
-    async fn ask_hubs(&self, attempt: u64, limit: Duration) -> Option<Name> {
+    /// Asks all hubs which software version began the stream of an attempt, and takes the
+    /// first answer of one that knows.
+    async fn ask_hubs(&self, attempt: u64, limit: Duration) -> Lookup {
         let hubs: Vec<SocketAddr> = self.hubs.lock().hubs().collect();
+        let mut is_complete = !hubs.is_empty();
         let calls = hubs.into_iter().map(|hub| {
             let stub = self.lookup_stub(hub);
             async move {
@@ -175,18 +188,27 @@
                         "Hub did not say which software version began a stream: {error}."
                     );
                 });
-                let mut known = known.unwrap_or_default().into_iter();
-                let origin = known.find(|origin| origin.attempts.contains(&attempt));
-                origin.map(|origin| origin.software)
+                known.map(|known| {
+                    let mut known = known.into_iter();
+                    let origin = known.find(|origin| origin.attempts.contains(&attempt));
+                    origin.map(|origin| origin.software)
+                })
             }
         });
         let mut calls: FuturesUnordered<_> = calls.collect();
-        while let Some(known) = calls.next().await {
-            if known.is_some() {
-                return known;
+        while let Some(answer) = calls.next().await {
+            is_complete &= answer.is_ok();
+            if let Ok(Some(software)) = answer {
+                return Lookup {
+                    software: Some(software),
+                    is_complete,
+                };
             }
         }
-        None
+        Lookup {
+            software: None,
+            is_complete,
+        }
     }
 
     fn lookup_stub(&self, hub: SocketAddr) -> Stub<HubClient> {
