--- a/crates/sequoiawing_policy/src/serving/fleet_size.rs
+++ b/crates/sequoiawing_policy/src/serving/fleet_size.rs
@@ -13,12 +13,17 @@
 /// time in touch with hubs.
 const YOUNG_DIVISOR: u128 = 2;
 
+/// Divides the part of its share that a host has from the first reply of a hub, so that
+/// a host that has just started may retry where few share the slack.
+const FIRST_DIVISOR: u64 = 4;
+
 /// The number of hosts that share the slack of the retry limits, as known on one
 /// host.
 ///
 /// A host that has just started may follow another process on the same machine that
-/// used its share, or belong to a fleet that the hubs do not know yet. Its share
-/// grows with the time in which hubs have replied, and is whole after a window.
+/// used its share, or belong to a fleet that the hubs do not know yet. It begins with a
+/// part of its share, which grows with the time in which hubs have replied, and has the
+/// whole after a window.
 #[derive(Clone, Debug, Default)]
 pub struct FleetSize {
     /// The numbers of hosts that were named, with the last time of each, in order of
@@ -61,6 +66,7 @@
         }
         let divisor = (window.as_micros() * YOUNG_DIVISOR).max(1);
         let young = u128::from(whole) * in_touch.as_micros() / divisor;
-        u64::try_from(young).unwrap_or(whole)
+        let young = u64::try_from(young).unwrap_or(whole);
+        (whole / FIRST_DIVISOR + young).min(whole)
     }
 }
