--- a/crates/sequoiawing_policy/src/serving/fleet_size.rs
+++ b/crates/sequoiawing_policy/src/serving/fleet_size.rs
@@ -15,7 +15,7 @@
 
 /// Divides the part of its share that a host has from the first reply of a hub, so that
 /// a host that has just started may retry where few share the slack.
-const FIRST_DIVISOR: u64 = 4;
+const FIRST_DIVISOR: u64 = 16;
 
 /// The number of hosts that share the slack of the retry limits, as known on one
 /// host.
--- a/crates/sequoiawing_policy/tests/retry_fleet.rs
+++ b/crates/sequoiawing_policy/tests/retry_fleet.rs
@@ -261,6 +261,10 @@
     gateways_restarted_one_by_one_share_the_slack: Day { restart_ms: 500, ..Day::default() };
     // Guards against slack that each start of a gateway grants anew.
     gateways_restarted_at_once_share_the_slack: Day { herd_ms: 2_500, ..Day::default() };
+    // Guards against slack that each start in a quick series grants anew.
+    gateways_restarted_each_second_share_the_slack: Day { herd_ms: 1_000, ..Day::default() };
+    // Guards against slack that each start in a quick series grants anew.
+    gateways_restarted_each_half_second_share_the_slack: Day { herd_ms: 500, ..Day::default() };
     // Guards against gateways that take the whole slack before they know others.
     gateways_that_replace_others_share_the_slack: Day { churn_ms: 500, ..Day::default() };
     // Guards against larger shares after a hub has forgotten gateways.
