Streams of unknown origin go on in pools of one software version

Evidence, on the code before: a_stream_that_no_host_knows_is_taken_up_in_a_pool_of_one_version timed out after 30 s of 503.

A hub now says with its answer which version has been the only one of the pool, and for how long it has heard of no other: announcements by name, also of upstreams that left or started anew under their name, and at most since the hub's start. A gateway assumes it if all hubs have answered and agree, for twice the time that the route gives a request: a stream, and the end of its upstream after the last announcement.

An ID used for streams of two versions is reported with both; before, the gateway kept the second to itself, and hubs answered with the first (found by the review, by reading).

--- a/crates/sequoiawing_fleet/src/lib.rs
+++ b/crates/sequoiawing_fleet/src/lib.rs
@@ -17,6 +17,7 @@
 mod remote_centres;
 mod renewal;
 mod roster;
+mod software_history;
 mod summary;
 
 pub use announcement::{UpstreamKind, UpstreamState};
--- a/crates/sequoiawing_fleet/src/roster.rs
+++ b/crates/sequoiawing_fleet/src/roster.rs
@@ -1,4 +1,4 @@
-use crate::UpstreamState;
+use crate::{UpstreamState, software_history::SoftwareHistory};
 use sequoiawing_types::{Name, Time};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -74,6 +74,7 @@
     entries: BTreeMap<Name, TrackedEntry>,
     /// The upstream with the latest start at each address.
     address_owners: BTreeMap<SocketAddr, Name>,
+    software: SoftwareHistory,
 }
 
 impl Roster {
@@ -84,6 +85,7 @@
             stamp: 0,
             entries: BTreeMap::new(),
             address_owners: BTreeMap::new(),
+            software: SoftwareHistory::default(),
         }
     }
 
@@ -137,6 +139,8 @@
             return self.mark_gone(&name, &listed);
         }
         let listed = with_known_software(known, listed);
+        let software = listed.state.software.as_ref();
+        self.software.record(now, &listed.state.pool, software);
         let is_same = known.is_some_and(|entry| is_equivalent(&entry.listed, &listed));
         let listed = self.resolve_address(listed);
         self.stamp += 1;
@@ -202,6 +206,7 @@
     /// period.
     pub fn expire(&mut self, now: Time) {
         self.entries.retain(|_, e| now < e.last_heard + RETENTION);
+        self.software.expire(now, RETENTION);
         let entries = &self.entries;
         self.address_owners
             .retain(|_, name| entries.contains_key(name));
@@ -231,6 +236,15 @@
         }
     }
 
+    /// Returns the only software version that upstreams of a pool have announced for a
+    /// while, with the time for which no other one was heard of: at most since the start of
+    /// this process, which is at [`Time::ZERO`].
+    pub fn only_software(&self, now: Time, pool: &Name) -> Option<(Name, Duration)> {
+        let (software, other) = self.software.last(pool)?;
+        let since = other.unwrap_or(Time::ZERO);
+        Some((software.clone(), now.since(since)))
+    }
+
     /// Returns the upstreams that are not gone.
     pub fn live(&self) -> impl Iterator<Item = &Arc<UpstreamState>> {
         let live = self.entries.values().filter(|e| !e.listed.gone);
--- a/crates/sequoiawing_gateway/src/stream_origins.rs
+++ b/crates/sequoiawing_gateway/src/stream_origins.rs
@@ -9,7 +9,9 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use parking_lot::Mutex;
 use sequoiawing_catalog::RetryPolicy;
-use sequoiawing_link::{HubClient, Secret, StreamOrigin, Stub};
+use sequoiawing_link::{
+    HubClient, OnlySoftware, OriginReply, OriginRequest, Secret, StreamOrigin, Stub,
+};
 use sequoiawing_policy::serving::{Assignment, BalancerRequest, SoftwareVersion, StreamOrigins};
 use sequoiawing_router::{Code, Refused};
 use sequoiawing_types::Name;
@@ -27,13 +29,42 @@
 /// The maximum number of streams in one report.
 const MAX_REPORTED: usize = 4_096;
 
+/// Multiplies the time that the route gives a request to get the time for which a pool
+/// must have had a single software version before a stream of unknown origin is taken for
+/// one of that version: the stream, and its upstream's end after the last announcement.
+const ONLY_SOFTWARE_FACTOR: u32 = 2;
+
 /// What hubs know of the stream of an attempt.
 struct Lookup {
     software: Option<Name>,
+    /// The only version that its pool had lately, if all hubs say so.
+    only: Option<OnlySoftware>,
     /// Whether all hubs that were asked have answered.
     is_complete: bool,
 }
 
+impl Lookup {
+    /// Adds the reply of a hub, or `None` if it did not answer.
+    fn add(&mut self, attempt: Option<u64>, reply: Option<OriginReply>, is_first: bool) {
+        let Some(reply) = reply else {
+            self.is_complete = false;
+            self.only = None;
+            return;
+        };
+        let mut origins = reply.origins.into_iter();
+        let origin = origins.find(|o| attempt.is_some_and(|a| o.attempts.contains(&a)));
+        self.software = origin.map(|origin| origin.software);
+        self.only = match (self.only.take(), reply.only) {
+            (None, only) if is_first => only,
+            (Some(known), Some(only)) if known.software == only.software => Some(OnlySoftware {
+                age: known.age.min(only.age),
+                ..only
+            }),
+            _ => None,
+        };
+    }
+}
+
 /// The streams that began at this gateway.
 #[derive(Default)]
 pub(crate) struct OriginRecords {
@@ -130,19 +161,23 @@
             return Ok(None);
         }
         let mut source = "own record";
-        let mut found = None;
         let mut is_complete = true;
-        if let Some(id) = &exchange.meta.resumes {
-            let attempt = attempt_digest(exchange, id);
-            let own = self.origins.own.lock().get(self.now(), attempt).cloned();
-            found = own;
-            if found.is_none() {
-                source = "hub";
-                let limit = LOOKUP_TIMEOUT.min(exchange.remaining(self.now()));
-                let lookup = self.ask_hubs(attempt, limit).await;
-                is_complete = lookup.is_complete;
-                found = lookup.software.map(SoftwareVersion::Announced);
-            }
+        let attempt = exchange.meta.resumes.as_ref();
+        let attempt = attempt.map(|id| attempt_digest(exchange, id));
+        let own = attempt.and_then(|a| self.origins.own.lock().get(self.now(), a).cloned());
+        let mut found = own;
+        if found.is_none() {
+            source = "hub";
+            let limit = LOOKUP_TIMEOUT.min(exchange.remaining(self.now()));
+            let lookup = self.ask_hubs(&exchange.pool, attempt, limit).await;
+            is_complete = lookup.is_complete;
+            let software = lookup.software.or_else(|| {
+                source = "only version of the pool";
+                let least = exchange.route.timeout() * ONLY_SOFTWARE_FACTOR;
+                let only = lookup.only?;
+                (Duration::from_millis(only.age) >= least).then_some(only.software)
+            });
+            found = software.map(SoftwareVersion::Announced);
         }
         let resumes = exchange.meta.resumes.as_ref().map(Name::as_str);
         let waited = exchange.millis_since_arrival(self.now());
@@ -172,43 +207,44 @@
 
     /// Asks all hubs which software version began the stream of an attempt, and takes the
     /// first answer of one that knows.
-    async fn ask_hubs(&self, attempt: u64, limit: Duration) -> Lookup {
+    async fn ask_hubs(&self, pool: &Name, attempt: Option<u64>, limit: Duration) -> Lookup {
         let hubs: Vec<SocketAddr> = self.hubs.lock().hubs().collect();
-        let mut is_complete = !hubs.is_empty();
+        let mut lookup = Lookup {
+            software: None,
+            only: None,
+            is_complete: !hubs.is_empty(),
+        };
+        let request = OriginRequest {
+            pool: pool.clone(),
+            attempts: attempt.into_iter().collect(),
+        };
         let calls = hubs.into_iter().map(|hub| {
             let stub = self.lookup_stub(hub);
+            let request = request.clone();
             async move {
                 let call = async move |client: HubClient, context| {
-                    client.stream_origins(context, vec![attempt]).await
+                    client.stream_origins(context, request).await
                 };
-                let known = stub.call(limit, call).await;
-                let known = known.inspect_err(|error| {
+                let reply = stub.call(limit, call).await;
+                let reply = reply.inspect_err(|error| {
                     log::info!(
                         target: "gateway", hub = hub.to_string();
                         "Hub did not say which software version began a stream: {error}."
                     );
                 });
-                known.map(|known| {
-                    let mut known = known.into_iter();
-                    let origin = known.find(|origin| origin.attempts.contains(&attempt));
-                    origin.map(|origin| origin.software)
-                })
+                reply.ok()
             }
         });
         let mut calls: FuturesUnordered<_> = calls.collect();
-        while let Some(answer) = calls.next().await {
-            is_complete &= answer.is_ok();
-            if let Ok(Some(software)) = answer {
-                return Lookup {
-                    software: Some(software),
-                    is_complete,
-                };
+        let mut is_first = true;
+        while let Some(reply) = calls.next().await {
+            lookup.add(attempt, reply, is_first);
+            is_first = false;
+            if lookup.software.is_some() {
+                break;
             }
         }
-        Lookup {
-            software: None,
-            is_complete,
-        }
+        lookup
     }
 
     fn lookup_stub(&self, hub: SocketAddr) -> Stub<HubClient> {
--- a/crates/sequoiawing_hub/src/service.rs
+++ b/crates/sequoiawing_hub/src/service.rs
@@ -2,7 +2,7 @@
 use sequoiawing_catalog::Document;
 use sequoiawing_link::{
     Context, ControlError, GatewayReport, Hub, HubInfo, LoadRequest, MirrorReply, MirrorRequest,
-    ModelDemand, OrderedLoads, StreamOrigin, SyncReply,
+    ModelDemand, OrderedLoads, OriginReply, OriginRequest, SyncReply,
 };
 use std::sync::Arc;
 
@@ -45,7 +45,7 @@
         self.state.dump().to_string()
     }
 
-    async fn stream_origins(self, _: Context, attempts: Vec<u64>) -> Vec<StreamOrigin> {
-        self.state.find_origins(&attempts)
+    async fn stream_origins(self, _: Context, request: OriginRequest) -> OriginReply {
+        self.state.find_origins(&request)
     }
 }
--- a/crates/sequoiawing_hub/src/stream_origins.rs
+++ b/crates/sequoiawing_hub/src/stream_origins.rs
@@ -1,7 +1,7 @@
 //! The software versions that began streams, as gateways report them.
 
 use crate::hub::HubState;
-use sequoiawing_link::StreamOrigin;
+use sequoiawing_link::{OnlySoftware, OriginReply, OriginRequest, StreamOrigin};
 use sequoiawing_policy::serving::SoftwareVersion;
 
 impl HubState {
@@ -21,11 +21,16 @@
     }
 
     /// Returns the software versions that began the streams of callers' attempts, as far
-    /// as this hub knows them.
-    pub(crate) fn find_origins(&self, attempts: &[u64]) -> Vec<StreamOrigin> {
+    /// as this hub knows them, and the only version of their pool.
+    pub(crate) fn find_origins(&self, request: &OriginRequest) -> OriginReply {
         let now = self.now();
+        let only = self.roster.lock().only_software(now, &request.pool);
+        let only = only.map(|(software, age)| OnlySoftware {
+            software,
+            age: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        });
         let mut streams = self.streams.lock();
-        let found = attempts.iter().filter_map(|attempt| {
+        let found = request.attempts.iter().filter_map(|attempt| {
             let SoftwareVersion::Announced(software) = streams.get(now, *attempt)? else {
                 return None;
             };
@@ -34,6 +39,7 @@
                 attempts: vec![*attempt],
             })
         });
-        found.collect()
+        let origins = found.collect();
+        OriginReply { origins, only }
     }
 }
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -1,5 +1,6 @@
 use crate::{
-    ControlError, LimitUpdate, QuarantineReport, QuarantineUpdate, StreamOrigin, TokenUse,
+    ControlError, LimitUpdate, OriginReply, OriginRequest, QuarantineReport, QuarantineUpdate,
+    StreamOrigin, TokenUse,
 };
 use sequoiawing_catalog::{Catalog, Document};
 use sequoiawing_fleet::{Cursor, RosterUpdate};
@@ -312,6 +313,6 @@
     /// Returns the whole state as JSON, without secrets.
     async fn dump() -> String;
     /// Returns the known software versions that began the streams of callers' attempts,
-    /// by their digests.
-    async fn stream_origins(attempts: Vec<u64>) -> Vec<StreamOrigin>;
+    /// and the only version of their pool if there was no other lately.
+    async fn stream_origins(request: OriginRequest) -> OriginReply;
 }
--- a/crates/sequoiawing_link/src/lib.rs
+++ b/crates/sequoiawing_link/src/lib.rs
@@ -41,7 +41,7 @@
 pub use serve::{
     Connection, ConnectionHandler, LinkListener, Transport, server_channel, spawn_call,
 };
-pub use stream_origin::StreamOrigin;
+pub use stream_origin::{OnlySoftware, OriginReply, OriginRequest, StreamOrigin};
 pub use stub::{Connect, Stub};
 pub use translation::{Translation, Translations};
 pub use tunnel::{TunnelError, TunnelRequest, TunnelStatus, open_tunnel};
--- a/crates/sequoiawing_policy/src/serving/stream_origins.rs
+++ b/crates/sequoiawing_policy/src/serving/stream_origins.rs
@@ -22,12 +22,21 @@
     stamp: u64,
 }
 
+/// A software version that began the stream of an attempt.
+#[derive(Clone, Debug)]
+struct Recorded {
+    at: Time,
+    attempt: u64,
+    software: SoftwareVersion,
+    stamp: u64,
+}
+
 /// The software versions that began streams, by the digests of the callers' attempts.
 #[derive(Clone, Debug, Default)]
 pub struct StreamOrigins {
     origins: HashMap<u64, Origin>,
-    /// The attempts with the time and stamp at which they were recorded, oldest first.
-    recorded: VecDeque<(Time, u64, u64)>,
+    /// What was recorded, oldest first.
+    recorded: VecDeque<Recorded>,
     stamp: u64,
 }
 
@@ -42,9 +51,18 @@
             Some(_) => return,
         };
         self.stamp += 1;
-        let (software, stamp) = (next, self.stamp);
-        self.origins.insert(attempt, Origin { software, stamp });
-        self.recorded.push_back((now, attempt, stamp));
+        let stamp = self.stamp;
+        let origin = Origin {
+            software: next,
+            stamp,
+        };
+        self.origins.insert(attempt, origin);
+        self.recorded.push_back(Recorded {
+            at: now,
+            attempt,
+            software: software.clone(),
+            stamp,
+        });
         if self.recorded.len() > CAPACITY {
             self.drop_oldest();
         }
@@ -57,15 +75,13 @@
     }
 
     /// Returns the attempts that were recorded after a stamp, up to `limit`, and the
-    /// stamp of the last one.
+    /// stamp of the last one. An attempt with several versions is returned with each, so
+    /// that no receiver takes one of them for the only one.
     pub fn since(&self, stamp: u64, limit: usize) -> (u64, Vec<(u64, &SoftwareVersion)>) {
-        let start = self.recorded.partition_point(|(_, _, at)| *at <= stamp);
+        let start = self.recorded.partition_point(|r| r.stamp <= stamp);
         let newer = self.recorded.range(start..).take(limit);
-        let last = newer.clone().next_back().map_or(stamp, |(_, _, at)| *at);
-        let found = newer.filter_map(|(_, attempt, _)| {
-            let origin = self.origins.get(attempt)?;
-            Some((*attempt, origin.software.as_ref()?))
-        });
+        let last = newer.clone().next_back().map_or(stamp, |r| r.stamp);
+        let found = newer.map(|r| (r.attempt, &r.software));
         (last, found.collect())
     }
 
@@ -80,19 +96,19 @@
     }
 
     fn expire(&mut self, now: Time) {
-        let is_old = |(at, ..): &(Time, u64, u64)| now.since(*at) >= RETENTION;
+        let is_old = |r: &Recorded| now.since(r.at) >= RETENTION;
         while self.recorded.front().is_some_and(is_old) {
             self.drop_oldest();
         }
     }
 
     fn drop_oldest(&mut self) {
-        let Some((_, attempt, stamp)) = self.recorded.pop_front() else {
+        let Some(oldest) = self.recorded.pop_front() else {
             return;
         };
-        let origin = self.origins.get(&attempt);
-        if origin.is_some_and(|origin| origin.stamp == stamp) {
-            self.origins.remove(&attempt);
+        let origin = self.origins.get(&oldest.attempt);
+        if origin.is_some_and(|origin| origin.stamp == oldest.stamp) {
+            self.origins.remove(&oldest.attempt);
         }
     }
 }
