Decode what an answer says of its upstream into one type; log Retry-After

What a response says of its upstream had a field and a branch for each header. No decision changes.

Refusals are logged with the time for which the upstream wants no requests (retry_after_ms), which nothing read before; answers that promise nothing have the same line now, with their status.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! A single attempt to send a request to an upstream.
 
 use crate::{
-    Attempt, GatewayExchange, GatewayState, LimitNotice, ResponseKind, ToleranceNotice,
+    Attempt, GatewayExchange, GatewayState, ResponseHead, ResponseKind,
     response_body::{ReadError, drain},
     slots::Slot,
     source::{EventStream, Source},
@@ -166,40 +166,18 @@
         parts.status,
         &parts.headers,
     );
-    if let Some(load) = head.load {
-        slot.report_load(load);
-    }
-    match head.limit {
-        LimitNotice::Limited(rate) => slot.observe_limit(Some(rate)),
-        LimitNotice::Unlimited => slot.observe_limit(None),
-        LimitNotice::Unknown => {}
-    }
-    match head.tolerance {
-        ToleranceNotice::Brittle(rate) => slot.observe_tolerance(Some(rate)),
-        ToleranceNotice::Sound => slot.observe_tolerance(None),
-        ToleranceNotice::Unknown => {}
-    }
+    slot.apply_notice(&head.notice);
     match head.kind {
         ResponseKind::Answer => slot.begun = Some(state.now()),
         ResponseKind::Foreign => {
+            log_refusal(exchange, slot, &parts, &head);
             body.discard();
             return Err(AttemptError::MayHaveRun(
                 "the answer is not to this request".to_owned(),
             ));
         }
         kind => {
-            log::info!(
-                target: "gateway", request = exchange.meta.id.as_str(),
-                upstream = slot.upstream().as_str(), start = slot.assignment.epoch,
-                refusal = format!("{kind:?}"), status = parts.status.as_u16(),
-                running = head.load.map(|load| load.running),
-                waiting = head.load.map(|load| load.waiting),
-                slots = head.load.map(|load| load.slots),
-                expected_load = slot.assignment.load,
-                load_age_ms = slot.assignment.load_age.map(millis),
-                took_ms = slot.millis_since_assigned();
-                "Upstream refused a request."
-            );
+            log_refusal(exchange, slot, &parts, &head);
             body.record_refusal(exchange.meta.id.as_str());
             drain(body);
             return Err(AttemptError::NotRun(kind));
@@ -229,6 +207,24 @@
     }
 }
 
+fn log_refusal(exchange: &GatewayExchange, slot: &Slot, parts: &Parts, head: &ResponseHead) {
+    let ResponseHead { kind, notice } = head;
+    let load = notice.load;
+    log::info!(
+        target: "gateway", request = exchange.meta.id.as_str(),
+        upstream = slot.upstream().as_str(), start = slot.assignment.epoch,
+        refusal = format!("{kind:?}"), status = parts.status.as_u16(),
+        retry_after_ms = notice.retry_after.map(millis),
+        running = load.map(|load| load.running),
+        waiting = load.map(|load| load.waiting),
+        slots = load.map(|load| load.slots),
+        expected_load = slot.assignment.load,
+        load_age_ms = slot.assignment.load_age.map(millis),
+        took_ms = slot.millis_since_assigned();
+        "Upstream refused a request."
+    );
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/sequoiawing_gateway/src/dialect.rs
+++ b/crates/sequoiawing_gateway/src/dialect.rs
@@ -86,33 +86,45 @@
 pub struct ResponseHead {
     /// The meaning of the response.
     pub kind: ResponseKind,
+    /// What the response says of the upstream.
+    pub notice: UpstreamNotice,
+}
+
+/// What the head of a response says of its upstream, whether or not the upstream ran the
+/// request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UpstreamNotice {
     /// The load that the upstream reported.
     pub load: Option<ReportedLoad>,
     /// What it says of the upstream's limit.
     pub limit: LimitNotice,
     /// What it says of how many requests the upstream can reject.
     pub tolerance: ToleranceNotice,
+    /// The time for which the upstream wants no requests from this host.
+    pub retry_after: Option<Duration>,
 }
 
 /// What the head of an upstream's response says of its limit.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum LimitNotice {
     /// The upstream accepts so many requests from all hosts together.
     Limited(RequestRate),
     /// The upstream has no limit, or no longer.
     Unlimited,
     /// The response does not tell: it is not the answer of a run.
+    #[default]
     Unknown,
 }
 
 /// What the head of an upstream's response says of how many requests it can reject.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ToleranceNotice {
     /// The upstream falls over when it has to reject more requests than this per second.
     Brittle(RequestRate),
     /// The upstream may reject any number, or again.
     Sound,
     /// The response does not tell.
+    #[default]
     Unknown,
 }
 
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub use daemon::Gateway;
 pub use dialect::{
     Attempt, Dialect, LimitNotice, RequestMeta, ResponseHead, ResponseKind, ToleranceNotice,
+    UpstreamNotice,
 };
 pub use exchange::{GatewayExchange, LEAST_URGENCY};
 pub use settings::GatewaySettings;
--- a/crates/sequoiawing_gateway/src/quarantine/tests.rs
+++ b/crates/sequoiawing_gateway/src/quarantine/tests.rs
@@ -1,6 +1,6 @@
 use crate::{
-    Attempt, Dialect, GatewayExchange, GatewaySettings, GatewayState, LimitNotice, RequestMeta,
-    ResponseHead, ResponseKind,
+    Attempt, Dialect, GatewayExchange, GatewaySettings, GatewayState, RequestMeta, ResponseHead,
+    ResponseKind,
 };
 use hyper::{HeaderMap, Response, StatusCode};
 use sequoiawing_http::{Body, empty};
@@ -25,9 +25,7 @@
     fn classify(&self, _: &RequestMeta, _: &Name, _: StatusCode, _: &HeaderMap) -> ResponseHead {
         ResponseHead {
             kind: ResponseKind::Answer,
-            load: None,
-            tolerance: crate::ToleranceNotice::Unknown,
-            limit: LimitNotice::Unknown,
+            notice: crate::UpstreamNotice::default(),
         }
     }
 
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -1,10 +1,11 @@
 //! Slots at upstreams and the wait for them.
 
-use crate::{GatewayExchange, GatewayState, places::PlaceSearch, state::DemandEvent};
-use futures_lite::FutureExt;
-use sequoiawing_policy::serving::{
-    Assignment, AttemptOutcome, BalancerRequest, PickResult, ReportedLoad,
+use crate::{
+    GatewayExchange, GatewayState, LimitNotice, ToleranceNotice, UpstreamNotice,
+    places::PlaceSearch, state::DemandEvent,
 };
+use futures_lite::FutureExt;
+use sequoiawing_policy::serving::{Assignment, AttemptOutcome, BalancerRequest, PickResult};
 use sequoiawing_router::{Code, Refused};
 use sequoiawing_runtime::sleep;
 use sequoiawing_types::{Name, RequestRate, Time};
@@ -71,13 +72,25 @@
         u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// Records the load that the upstream reported.
-    pub(crate) fn report_load(&self, load: ReportedLoad) {
-        self.state.report_load(&self.assignment, load);
+    /// Applies what the head of an answer says of the upstream.
+    pub(crate) fn apply_notice(&self, notice: &UpstreamNotice) {
+        if let Some(load) = notice.load {
+            self.state.report_load(&self.assignment, load);
+        }
+        match notice.limit {
+            LimitNotice::Limited(rate) => self.observe_limit(Some(rate)),
+            LimitNotice::Unlimited => self.observe_limit(None),
+            LimitNotice::Unknown => {}
+        }
+        match notice.tolerance {
+            ToleranceNotice::Brittle(rate) => self.observe_tolerance(Some(rate)),
+            ToleranceNotice::Sound => self.observe_tolerance(None),
+            ToleranceNotice::Unknown => {}
+        }
     }
 
     /// Records the limit that the upstream named in its answer.
-    pub(crate) fn observe_limit(&self, limit: Option<RequestRate>) {
+    fn observe_limit(&self, limit: Option<RequestRate>) {
         let now = self.state.now();
         let mut balancer = self.state.balancer.lock();
         let has_changed = balancer.observe_limit(now, self.assignment.key, self.assigned, limit);
@@ -92,7 +105,7 @@
     }
 
     /// Records how many requests the upstream can reject, as it said in its answer.
-    pub(crate) fn observe_tolerance(&self, tolerance: Option<RequestRate>) {
+    fn observe_tolerance(&self, tolerance: Option<RequestRate>) {
         let now = self.state.now();
         let key = self.assignment.key;
         let mut balancer = self.state.balancer.lock();
