Send nothing to upstreams that asked for no requests, until their time has passed

Callers were told to come back after 0.2 s.

Cause: nothing read the time. A refusal closed an upstream for 125 ms, whatever it said. The class is that of the limits and of brittle upstreams: a word of an upstream about itself is passed over.

Now UpstreamNotice holds the time, and the balancer keeps the latest end by the upstream's name, apart from retry_at, which recoveries and tunnels shorten, and from the roster's entry, which may flap. It is checked when an upstream is chosen, for places at brittle upstreams, and once more when the connection is open, so that requests that were chosen before are not sent after. While all upstreams want nothing, requests are refused at once with the first end and a spread, and cost no retry.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -29,6 +29,10 @@
     /// No byte of the request was sent.
     #[error("the request was not sent: {0}")]
     NotSent(String),
+    /// The upstream has asked for no requests since it was chosen. No byte of the request
+    /// was sent.
+    #[error("{0}")]
+    BackingOff(String),
     /// The upstream reported that it did not run the request.
     #[error("the upstream did not run the request: {0:?}")]
     NotRun(ResponseKind),
@@ -80,9 +84,15 @@
 }
 
 impl AttemptError {
+    /// Returns whether any part of the request was sent.
+    pub(crate) fn was_sent(&self) -> bool {
+        !matches!(self, Self::NotSent(_) | Self::BackingOff(_))
+    }
+
     /// Returns the outcome that the balancer records for the upstream.
     fn outcome(&self) -> AttemptOutcome {
         match self {
+            Self::BackingOff(_) => AttemptOutcome::Cancelled,
             Self::NotRun(ResponseKind::Full) => AttemptOutcome::Full,
             Self::NotRun(ResponseKind::Lacking) => AttemptOutcome::ModelMissing,
             Self::TimedOut | Self::ServerError(..) => AttemptOutcome::Failed,
@@ -129,6 +139,10 @@
 ) -> Result<Received, AttemptError> {
     let request = build_request(exchange)?;
     let prepare = |request: &mut Request<Body>| {
+        if let Some(backoff) = state.backoff(slot.upstream()) {
+            let wait = millis(backoff);
+            return Err(format!("the upstream wants no requests for {wait} ms"));
+        }
         let attempt = Attempt {
             upstream: slot.upstream(),
             remaining: exchange.remaining(state.now()),
@@ -138,6 +152,7 @@
         };
         let headers = request.headers_mut();
         state.dialect.add_attempt_headers(headers, &attempt);
+        Ok(())
     };
     let client = &state.client;
     let address = slot.assignment.address;
@@ -154,6 +169,7 @@
     };
     let response = sent.map_err(|error| match error {
         ClientError::NotSent(cause) => AttemptError::NotSent(cause),
+        ClientError::Stopped(cause) => AttemptError::BackingOff(cause),
         error => {
             state.record_broken_answer(exchange, slot);
             AttemptError::MayHaveRun(error.to_string())
--- a/crates/sequoiawing_gateway/src/filters/forward.rs
+++ b/crates/sequoiawing_gateway/src/filters/forward.rs
@@ -181,7 +181,7 @@
     ) -> Result<(), Refused> {
         let ran = progress.ran;
         match failure {
-            AttemptError::NotSent(cause) => {
+            AttemptError::NotSent(cause) | AttemptError::BackingOff(cause) => {
                 progress.connect_failures += 1;
                 if progress.connect_failures < MAX_CONNECT_FAILURES {
                     return Ok(());
@@ -194,19 +194,19 @@
                 ))
             }
             AttemptError::NotRun(kind) => {
-                if self.may_retry(exchange, progress) {
+                let backoff = self.state.common_backoff(&progress.request);
+                if backoff.is_none() && self.may_retry(exchange, progress) {
                     return Ok(());
                 }
                 let problem = match kind {
+                    _ if backoff.is_some() => "all upstreams want no requests for now",
                     ResponseKind::Lacking => "the upstream lacks the model",
                     ResponseKind::Elsewhere => "the upstream is gone",
                     _ => "the upstream is full",
                 };
                 let refused = Refused::new(Code::Overloaded, problem);
-                Err(final_refusal(
-                    refused.with_retry_after(OVERLOADED_RETRY),
-                    ran,
-                ))
+                let retry = backoff.unwrap_or(OVERLOADED_RETRY);
+                Err(final_refusal(refused.with_retry_after(retry), ran))
             }
             AttemptError::MayHaveRun(cause) => {
                 progress.ran = Ran::Unknown;
--- a/crates/sequoiawing_gateway/src/hedge.rs
+++ b/crates/sequoiawing_gateway/src/hedge.rs
@@ -211,7 +211,7 @@
 fn failed(attempt: HedgeAttempt, error: &AttemptError) -> HedgeEvent {
     HedgeEvent::Failed {
         attempt,
-        was_sent: !matches!(error, AttemptError::NotSent(_)),
+        was_sent: error.was_sent(),
     }
 }
 
--- a/crates/sequoiawing_gateway/src/settings.rs
+++ b/crates/sequoiawing_gateway/src/settings.rs
@@ -34,6 +34,9 @@
     /// How long a connection to an upstream may stay idle before it is no longer
     /// reused, in milliseconds.
     pub upstream_idle: u64,
+    /// The longest time, in milliseconds, for which an upstream can ask this host for no
+    /// requests.
+    pub max_backoff: u64,
     /// The retry budget that each request adds, in thousandths of a retry.
     pub repeat_ratio: u64,
     /// The retries allowed per window in addition, over all hosts.
@@ -65,6 +68,7 @@
             drain: 5_000,
             connections: 3_000,
             upstream_idle: 1_000,
+            max_backoff: 600_000,
             repeat_ratio: 200,
             repeat_slack: 20,
             repeat_window: 10_000,
@@ -104,5 +108,8 @@
         if self.repeat_window == 0 {
             findings.push("repeat_window", "must be at least 1 ms");
         }
+        if self.max_backoff == 0 {
+            findings.push("max_backoff", "must be at least 1 ms");
+        }
     }
 }
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -87,6 +87,9 @@
             ToleranceNotice::Sound => self.observe_tolerance(None),
             ToleranceNotice::Unknown => {}
         }
+        if let Some(span) = notice.retry_after {
+            self.state.request_backoff(self.upstream(), span);
+        }
     }
 
     /// Records the limit that the upstream named in its answer.
@@ -249,6 +252,7 @@
                     let refused = Refused::new(Code::Overloaded, problem).with_retry_after(retry);
                     (self.capacity_deadline(), refused)
                 }
+                PickResult::BackingOff(wait) => self.wait_for_backoff(&request, wait),
                 PickResult::Limited(retry) => self.wait_for_token(&request, retry),
                 PickResult::NotLoaded => self.wait_for_model(&request),
                 PickResult::NoUpstream => {
@@ -298,6 +302,19 @@
         self.started + self.exchange.route.target_latency() / CAPACITY_WAIT_DIVISOR
     }
 
+    /// Returns the time until which a request waits for the end of a backoff that all
+    /// upstreams asked for, and the refusal after it. It does not wait for an end that is
+    /// far off.
+    fn wait_for_backoff(&mut self, request: &BalancerRequest, wait: Duration) -> (Time, Refused) {
+        self.record_demand(request, DemandEvent::Saturated);
+        let retry = self.state.common_backoff(request).unwrap_or(wait);
+        let problem = "all upstreams that can serve the request want no requests for now";
+        let refused = Refused::new(Code::Overloaded, problem).with_retry_after(retry);
+        let due = self.state.now() + wait;
+        let is_near = due <= self.capacity_deadline();
+        (if is_near { due } else { self.started }, refused)
+    }
+
     /// Returns the time until which a request waits for a token of a limited upstream,
     /// and the refusal after it. It does not wait if others have used up the limit for
     /// longer than that.
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -400,6 +400,34 @@
         self.balancer.lock().pick(self.now(), request)
     }
 
+    /// Records that an upstream wants no requests from this host for a time.
+    pub(crate) fn request_backoff(&self, upstream: &Name, span: Duration) {
+        let bound = Duration::from_millis(self.settings.max_backoff);
+        let bounded = span.min(bound);
+        let mut balancer = self.balancer.lock();
+        let is_extended = balancer.request_backoff(self.now(), upstream, bounded);
+        drop(balancer);
+        if is_extended {
+            log::info!(
+                target: "gateway", upstream = upstream.as_str(),
+                backoff_ms = u64::try_from(bounded.as_millis()).unwrap_or(u64::MAX),
+                asked_s = span.as_secs_f64(), is_bounded = span > bound;
+                "Upstream wants no requests for a time."
+            );
+        }
+    }
+
+    /// Returns how long an upstream still wants no requests from this host.
+    pub(crate) fn backoff(&self, upstream: &Name) -> Option<Duration> {
+        self.balancer.lock().backoff(self.now(), upstream)
+    }
+
+    /// Returns after which time a refused request may come back, if all upstreams that could
+    /// serve it want no requests.
+    pub(crate) fn common_backoff(&self, request: &BalancerRequest) -> Option<Duration> {
+        self.balancer.lock().common_backoff(self.now(), request)
+    }
+
     /// Returns the upstreams that recently could not be reached.
     pub(crate) fn unreachable(&self) -> Vec<Name> {
         self.balancer.lock().unreachable(self.now())
--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -32,6 +32,9 @@
     /// No byte of the request was sent.
     #[error("request was not sent: {0}")]
     NotSent(String),
+    /// The sender stopped the request when a connection was open. No byte was sent.
+    #[error("{0}")]
+    Stopped(String),
     /// The request was sent, at least in part, and no response arrived.
     #[error("no answer: {0}")]
     NoResponse(String),
@@ -95,13 +98,14 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<ClientBody>, ClientError> {
-        self.send_prepared(address, request, None, |_| {}).await
+        self.send_prepared(address, request, None, |_| Ok(())).await
     }
 
     /// Sends a request like [`Client::send`], but on no connection on which a request with
     /// the same `id` was refused; see [`ClientBody::record_refusal`]. `prepare` sets what
-    /// depends on the time, such as a header with the time that is left; it is called when
-    /// a connection is open, again for each connection that turns out to be closed.
+    /// depends on the time, such as a header with the time that is left, or stops the
+    /// request with a cause; it is called when a connection is open, again for each
+    /// connection that turns out to be closed.
     ///
     /// # Errors
     ///
@@ -114,11 +118,11 @@
         prepare: P,
     ) -> Result<Response<ClientBody>, ClientError>
     where
-        P: Fn(&mut Request<Body>),
+        P: Fn(&mut Request<Body>) -> Result<(), String>,
     {
         let mut request = request;
         while let Some((mut sender, refusals)) = self.idle_pool.take(address, id) {
-            prepare(&mut request);
+            prepare(&mut request).map_err(ClientError::Stopped)?;
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     return Ok(self.attach_connection(address, sender, refusals, response));
@@ -148,7 +152,7 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<ClientBody>, ClientError> {
-        self.send_prepared_on_new_connection(address, request, |_| {})
+        self.send_prepared_on_new_connection(address, request, |_| Ok(()))
             .await
     }
 
@@ -165,11 +169,11 @@
         prepare: P,
     ) -> Result<Response<ClientBody>, ClientError>
     where
-        P: Fn(&mut Request<Body>),
+        P: Fn(&mut Request<Body>) -> Result<(), String>,
     {
         let mut request = request;
         let mut sender = self.connect(address).await?;
-        prepare(&mut request);
+        prepare(&mut request).map_err(ClientError::Stopped)?;
         match sender.try_send_request(request).await {
             Ok(response) => {
                 Ok(self.attach_connection(address, sender, Refusals::default(), response))
--- a/crates/sequoiawing_http/tests/prepared.rs
+++ b/crates/sequoiawing_http/tests/prepared.rs
@@ -1,7 +1,9 @@
 //! Tests that requests are completed when their connection is open.
 
 use hyper::header::{HeaderValue, RETRY_AFTER};
-use sequoiawing_http::{Body, Client, ConnectFuture, Connector, DirectConnector, empty};
+use sequoiawing_http::{
+    Body, Client, ClientError, ConnectFuture, Connector, DirectConnector, empty,
+};
 use sequoiawing_runtime::{run, sleep, timeout};
 use std::{
     collections::HashSet,
@@ -79,6 +81,7 @@
             let age = u64::try_from(began.elapsed().as_millis()).expect("a short time");
             let headers = request.headers_mut();
             headers.insert(RETRY_AFTER, HeaderValue::from(age));
+            Ok(())
         };
         let request = hyper::Request::new(empty());
         let sent = run(timeout(Duration::from_secs(10), async {
@@ -113,3 +116,54 @@
     assert!(first.iter().all(|(_, age)| *age >= 700), "{ages:?}");
     assert!(!kept.is_empty(), "no connection was kept: {ages:?}");
 }
+
+// Guards against a request that reaches a server although the server asked for none while
+// the connection was being opened, or after an answer on a kept one.
+#[test]
+fn a_stopped_request_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let (sender, received) = mpsc::channel();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, sender) = (stream.expect("a connection"), sender.clone());
+            thread::spawn(move || {
+                loop {
+                    let head = read_head(&mut stream);
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    let is_sent = sender.send(head.clone()).is_ok();
+                    if head.is_empty() || !is_sent || stream.write_all(answer).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let client = client();
+    let send = |stopped: bool| {
+        let request = hyper::Request::new(empty());
+        let prepare = |_: &mut hyper::Request<Body>| {
+            if stopped {
+                Err("asked for none".to_owned())
+            } else {
+                Ok(())
+            }
+        };
+        run(client.send_prepared(address, request, None, prepare))
+    };
+    let stopped = |sent| matches!(sent, Err(ClientError::Stopped(_)));
+    assert!(stopped(send(true).map(drop)));
+    assert_eq!(
+        received.recv().expect("a connection"),
+        "",
+        "bytes were sent"
+    );
+    drop(send(false).expect("an answer"));
+    assert_ne!(received.recv().expect("a request"), "");
+    assert!(stopped(send(true).map(drop)));
+    assert_eq!(
+        received.recv().expect("a closed connection"),
+        "",
+        "bytes were sent"
+    );
+}
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -1,6 +1,6 @@
 use super::{
     HostLimitReport, PrefixAffinity, PromptPart, ReportedLoad, SoftwareVersion, ToldLimit,
-    upstream::Upstream,
+    requested_backoffs::RequestedBackoffs, upstream::Upstream,
 };
 use sequoiawing_fleet::{RosterEntry, UpstreamState};
 use sequoiawing_types::{Name, RequestRate, Time};
@@ -122,6 +122,9 @@
     /// All suitable upstreams that are not full have named limits that are used up;
     /// holds the time until one can be expected to accept the request.
     Limited(Duration),
+    /// All upstreams that could serve the request want no requests from this host; holds
+    /// the time until it may be sent to the first of them.
+    BackingOff(Duration),
     /// No reachable upstream has loaded the model or adapter.
     NotLoaded,
     /// The pool has no known upstream, or none of the software version that the request
@@ -165,6 +168,7 @@
     evicted: HashSet<(Name, Name)>,
     /// The number of hosts that send requests.
     hosts: u32,
+    backoffs: RequestedBackoffs,
 }
 
 impl Balancer {
@@ -348,6 +352,7 @@
         let mut has_upstream = false;
         let mut has_candidate = false;
         let mut candidates = Vec::new();
+        let mut first_due: Option<Time> = None;
         let all_silent = self.are_all_silent(keys);
         for key in keys {
             let upstream = &self.upstreams[*key];
@@ -360,7 +365,14 @@
                 continue;
             }
             has_upstream = true;
-            if !self.can_serve(now, state, request) || request.tried.contains(&state.name) {
+            if !self.can_serve(now, state, request) {
+                continue;
+            }
+            if let Some(due) = self.due(now, request, &state.name) {
+                first_due = Some(first_due.map_or(due, |first| first.min(due)));
+                continue;
+            }
+            if request.tried.contains(&state.name) {
                 continue;
             }
             if upstream.is_backing_off(now) {
@@ -408,13 +420,14 @@
             Some(key) => self.assign(now, key, request),
             None if let Some(retry) = retry => PickResult::Limited(retry),
             None if has_candidate => PickResult::Full(FULL_RETRY),
+            None if let Some(due) = first_due => PickResult::BackingOff(due.since(now)),
             None if has_upstream => PickResult::NotLoaded,
             None => PickResult::NoUpstream,
         }
     }
 
     /// Assigns a request to a brittle upstream at which it has a place; returns `None` if
-    /// that start of the upstream is gone.
+    /// that start of the upstream is gone or wants no requests.
     pub fn assign_place(
         &mut self,
         now: Time,
@@ -422,7 +435,8 @@
         candidate: &PlaceCandidate,
     ) -> Option<Assignment> {
         let key = *self.names.get(&candidate.name)?;
-        if self.upstreams[key].state.epoch != candidate.epoch {
+        let is_same_start = self.upstreams[key].state.epoch == candidate.epoch;
+        if !is_same_start || self.due(now, request, &candidate.name).is_some() {
             return None;
         }
         match self.assign(now, key, request) {
@@ -450,6 +464,12 @@
         self.assign_place(now, request, &candidate)
     }
 
+    /// Returns when a request may be sent to an upstream that asked for a backoff; `None`
+    /// if it may now.
+    fn due(&self, now: Time, request: &BalancerRequest, upstream: &Name) -> Option<Time> {
+        self.backoffs.due(now, upstream, request.draw(upstream))
+    }
+
     /// Returns the candidates with their costs.
     fn rank(
         &self,
@@ -591,6 +611,41 @@
         upstream.tolerance.rate() != former
     }
 
+    /// Records that an upstream wants no requests from this host for a time; returns
+    /// whether that ends later than what it asked for before.
+    pub fn request_backoff(&mut self, now: Time, upstream: &Name, span: Duration) -> bool {
+        self.backoffs.extend(now, upstream, span)
+    }
+
+    /// Returns how long an upstream still wants no requests from this host.
+    pub fn backoff(&self, now: Time, upstream: &Name) -> Option<Duration> {
+        let end = self.backoffs.end(now, upstream)?;
+        Some(end.since(now))
+    }
+
+    /// Returns after which time a refused request may come back, if all upstreams that could
+    /// serve it want no requests from this host.
+    pub fn common_backoff(&self, now: Time, request: &BalancerRequest) -> Option<Duration> {
+        let keys = self.pools.get(&request.pool)?;
+        let all_silent = self.are_all_silent(keys);
+        let needed = request.software.as_ref();
+        let serving = keys.iter().map(|key| &self.upstreams[*key]).filter(|u| {
+            let state = &u.state;
+            !state.leaving
+                && (!u.is_silent || all_silent)
+                && needed.is_none_or(|software| software.is_of(state))
+                && self.can_serve(now, state, request)
+                && !u.is_backing_off(now)
+        });
+        let retries = serving.map(|upstream| {
+            let name = &upstream.state.name;
+            self.backoffs.retry(now, name, request.draw(name))
+        });
+        let retries: Option<Vec<Time>> = retries.collect();
+        let first = retries?.into_iter().min()?;
+        Some(first.since(now))
+    }
+
     /// Records that an upstream is silent while a request waits for it, or that
     /// it has gone on.
     pub fn set_responsive(&mut self, now: Time, key: UpstreamKey, is_responsive: bool) {
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -16,6 +16,7 @@
 mod prefix_affinity;
 mod prefix_cache;
 mod quarantine;
+mod requested_backoffs;
 mod retry_window;
 mod shared_bucket;
 mod software;
--- a/crates/sequoiawing_policy/tests/balancer.rs
+++ b/crates/sequoiawing_policy/tests/balancer.rs
@@ -69,6 +69,7 @@
         PickResult::NeedsPlace(_) => "needs a place",
         PickResult::Full(_) => "full",
         PickResult::Limited(_) => "limited",
+        PickResult::BackingOff(_) => "backing off",
         PickResult::NotLoaded => "not loaded",
         PickResult::NoUpstream => "no upstream",
     }
--- a/crates/sequoiawing_policy/tests/brittle_upstreams/world.rs
+++ b/crates/sequoiawing_policy/tests/brittle_upstreams/world.rs
@@ -625,7 +625,9 @@
                     self.fail(id, retry);
                 }
             }
-            PickResult::NotLoaded | PickResult::NoUpstream => self.fail(id, COME_BACK),
+            PickResult::BackingOff(_) | PickResult::NotLoaded | PickResult::NoUpstream => {
+                self.fail(id, COME_BACK);
+            }
         }
     }
 
--- a/crates/sequoiawing_router/src/attempt.rs
+++ b/crates/sequoiawing_router/src/attempt.rs
@@ -216,7 +216,9 @@
         let sent = self.send_http(address, template.repeatable, deadline, build);
         let (response, was_resent) = match timeout(remaining, sent).await {
             Some(Ok(sent)) => sent,
-            Some(Err(ClientError::NotSent(cause))) => return Err(AttemptError::not_sent(cause)),
+            Some(Err(ClientError::NotSent(cause) | ClientError::Stopped(cause))) => {
+                return Err(AttemptError::not_sent(cause));
+            }
             Some(Err(ClientError::NoResponse(cause) | ClientError::IdleClosed(cause))) => {
                 return Err(AttemptError::unknown(cause));
             }
@@ -274,6 +276,7 @@
             let remaining = u64::try_from(remaining).unwrap_or(u64::MAX);
             let headers = request.headers_mut();
             headers.insert(DEADLINE_HEADER, HeaderValue::from(remaining));
+            Ok(())
         };
         if !repeatable {
             let sent = client.send_prepared_on_new_connection(address, build(), set_deadline);
