Answer all requests before a stopping gateway ends

What callers saw (report of other operators, reproduced here): a request whose head had begun to arrive before SIGTERM and was whole 4.6 s or more after it was passed on, ran, and was cut without an answer when the process ended; so were requests that had run since before the signal, and those that waited for a model (cut, did not run).

Cause: nothing that passes requests on knew the end of the grace time. A connection with a begun head is not idle, so it outlives the listener, and the drain cut whatever was open when it ended.

Now the gateway sets the time of its last answers when it begins to stop. What cannot end by then, by the latest answers of its route, is refused before it is sent; what is open then is answered with 503 if it cannot have run, else with 504; streams are broken off visibly, which an HTTP/1.0 caller could not tell from their end before.

Before, three of five cases failed; without the part in relay.rs a_stream_without_chunks_ends_broken fails as well (ended in order).

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Attempt, GatewayExchange, GatewayState, ResponseHead, ResponseKind,
+    exchange::PossibleRun,
     response_body::{ReadError, drain},
     slots::Slot,
     source::{EventStream, Source},
@@ -138,6 +139,7 @@
     last_event_id: Option<u64>,
 ) -> Result<Received, AttemptError> {
     let request = build_request(exchange)?;
+    let possible_run = PossibleRun::new(exchange);
     let prepare = |request: &mut Request<Body>| {
         if let Some(backoff) = state.backoff(slot.upstream()) {
             let wait = millis(backoff);
@@ -152,6 +154,7 @@
         };
         let headers = request.headers_mut();
         state.dialect.add_attempt_headers(headers, &attempt);
+        possible_run.begin();
         Ok(())
     };
     let client = &state.client;
@@ -168,8 +171,14 @@
         client.send_prepared(address, request, id, prepare).await
     };
     let response = sent.map_err(|error| match error {
-        ClientError::NotSent(cause) => AttemptError::NotSent(cause),
-        ClientError::Stopped(cause) => AttemptError::BackingOff(cause),
+        ClientError::NotSent(cause) => {
+            possible_run.withdraw();
+            AttemptError::NotSent(cause)
+        }
+        ClientError::Stopped(cause) => {
+            possible_run.withdraw();
+            AttemptError::BackingOff(cause)
+        }
         error => {
             state.record_broken_answer(exchange, slot);
             AttemptError::MayHaveRun(error.to_string())
@@ -196,6 +205,7 @@
             log_refusal(exchange, slot, &parts, &head);
             body.record_refusal(exchange.meta.id.as_str());
             drain(body);
+            possible_run.withdraw();
             return Err(AttemptError::NotRun(kind));
         }
     }
@@ -211,6 +221,7 @@
             }
             if parts.status.is_success() {
                 state.record_complete_answer(exchange);
+                state.record_run_time(exchange, slot);
             }
             Ok(Received::Buffered(parts, bytes))
         }
--- a/crates/sequoiawing_gateway/src/daemon.rs
+++ b/crates/sequoiawing_gateway/src/daemon.rs
@@ -122,10 +122,11 @@
     }
 
     /// Shuts down gracefully: fails the readiness check, gives the load balancer
-    /// time to notice, stops accepting connections and waits for open requests.
+    /// time to notice, stops accepting connections and waits for open requests. Those that
+    /// are open shortly before the end get an answer of the gateway. See
+    /// [docs/design/shutdown.md](../../../docs/design/shutdown.md).
     pub async fn stop(self) {
-        log::info!(target: "gateway", open = self.state.open_requests.load(Ordering::Relaxed); "Stopping.");
-        self.state.is_stopping.store(true, Ordering::Relaxed);
+        self.state.begin_stop();
         sleep(Duration::from_millis(self.state.settings.farewell)).await;
         self.accept_shutdown.start();
         let drain = Duration::from_millis(self.state.settings.drain);
@@ -189,7 +190,10 @@
         let _guard = OpenRequestGuard(state);
         let mut exchange = GatewayExchange::new(state.now(), state.index(), request);
         let arrival = exchange.arrival;
-        let result = self.chain.run(&mut exchange).await;
+        let result = state
+            .before_last_answer(self.chain.run(&mut exchange))
+            .await;
+        let result = result.unwrap_or_else(|| Err(GatewayState::last_answer(&exchange)));
         let latency = state.now().since(arrival);
         let response = match result {
             Ok(response) => response,
@@ -197,8 +201,8 @@
                 log_refusal(&exchange, &refused, latency);
                 let id = Some(&exchange.meta.id);
                 let mut response = state.dialect.refusal_response(&refused, id);
-                if state.is_isolated() {
-                    // The caller's next connection leads to another data centre.
+                if state.is_isolated() || state.is_stopping.load(Ordering::Relaxed) {
+                    // The caller's next connection leads to another host.
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
--- a/crates/sequoiawing_gateway/src/exchange.rs
+++ b/crates/sequoiawing_gateway/src/exchange.rs
@@ -5,7 +5,10 @@
 use sequoiawing_policy::serving::{BalancerRequest, shared_causes};
 use sequoiawing_types::{CrashCause, Name, Time};
 use std::{
-    sync::{Arc, OnceLock, atomic::AtomicU32},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -50,12 +53,43 @@
     /// Identifies this attempt of the caller. Callers choose the request's id, and may
     /// use one twice.
     pub(crate) attempt: u64,
+    /// The attempts that may have run the request.
+    pub(crate) possible_runs: AtomicU32,
     /// The number of the last quarantine of a cause of crashes in whose trials this
     /// request passed, or 0.
     pub(crate) passed_term: AtomicU32,
     digest: OnceLock<RequestDigest>,
 }
 
+/// Counts an attempt as a possible run of its request.
+pub(crate) struct PossibleRun<'a> {
+    exchange: &'a GatewayExchange,
+    is_counted: AtomicBool,
+}
+
+impl<'a> PossibleRun<'a> {
+    pub(crate) fn new(exchange: &'a GatewayExchange) -> Self {
+        Self {
+            exchange,
+            is_counted: AtomicBool::new(false),
+        }
+    }
+
+    /// Records that the request is about to be sent, which may happen several times.
+    pub(crate) fn begin(&self) {
+        if !self.is_counted.swap(true, Ordering::Relaxed) {
+            self.exchange.possible_runs.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Records that the attempt did not run the request.
+    pub(crate) fn withdraw(&self) {
+        if self.is_counted.swap(false, Ordering::Relaxed) {
+            self.exchange.possible_runs.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
 impl GatewayExchange {
     pub(crate) fn new(arrival: Time, index: Arc<CatalogIndex>, request: Request<Incoming>) -> Self {
         let (parts, incoming) = request.into_parts();
--- a/crates/sequoiawing_gateway/src/filters/forward.rs
+++ b/crates/sequoiawing_gateway/src/filters/forward.rs
@@ -62,12 +62,12 @@
         self.state.record_demand(&progress.request, event);
         self.state.record_request(&exchange.pool);
         loop {
-            self.recheck_quarantine(exchange, &progress)?;
+            self.recheck(exchange, &progress)?;
             let slot = SlotSearch::new(&self.state, exchange)
                 .acquire(&progress.request)
                 .await;
             let slot = slot.map_err(|refused| final_refusal(refused, progress.ran))?;
-            self.recheck_quarantine(exchange, &progress)?;
+            self.recheck(exchange, &progress)?;
             let upstream = slot.upstream().clone();
             let epoch = slot.assignment.epoch;
             log::info!(
@@ -223,14 +223,12 @@
         }
     }
 
-    /// Refuses a request with a cause of crashes that was quarantined meanwhile.
-    fn recheck_quarantine(
-        &self,
-        exchange: &GatewayExchange,
-        progress: &Progress,
-    ) -> Result<(), Refused> {
+    /// Refuses a request with a cause of crashes that was quarantined meanwhile, or that
+    /// cannot end before this host does.
+    fn recheck(&self, exchange: &GatewayExchange, progress: &Progress) -> Result<(), Refused> {
         let is_repeat = progress.ran != Ran::No;
         let rechecked = self.state.recheck_quarantine(exchange, is_repeat);
+        let rechecked = rechecked.and_then(|()| self.state.check_stop(exchange));
         rechecked.map_err(|refused| final_refusal(refused, progress.ran))
     }
 
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod slots;
 mod source;
 mod state;
+mod stop;
 mod stream_origins;
 mod stream_position;
 mod tunnels;
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -74,6 +74,15 @@
         if self.is_finished {
             return None;
         }
+        let state = self.state.clone();
+        let next = state.before_last_answer(self.next_events()).await;
+        next.unwrap_or_else(|| {
+            let cause = "this host ends before the stream does";
+            Some(Err(self.abort(AttemptOutcome::Cancelled, cause)))
+        })
+    }
+
+    async fn next_events(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
             let remaining = self.exchange.remaining(self.state.now());
             match timeout(remaining, self.wait()).await {
@@ -309,6 +318,7 @@
         self.is_finished = true;
         self.log("whole", cause);
         if let Some(source) = self.source.take() {
+            self.state.record_run_time(&self.exchange, &source.slot);
             source.slot.release(AttemptOutcome::Succeeded);
             self.state.record_complete_answer(&self.exchange);
         }
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -5,6 +5,7 @@
     quarantine::QuarantineState,
     response_body::BodyBuffers,
     slots::Slot,
+    stop::StopState,
     stream_origins::OriginRecords,
     upstream_connector::UpstreamConnector,
 };
@@ -116,6 +117,7 @@
     pub(crate) hubs_changed: Event,
     /// Whether shutdown has begun.
     pub(crate) is_stopping: AtomicBool,
+    pub(crate) stop: StopState,
     /// Notified when an upstream may have gained capacity or a model.
     pub(crate) upstreams_changed: Event,
     /// Notified when a report should be sent without delay.
@@ -169,6 +171,7 @@
             hubs: Mutex::new(hubs),
             hubs_changed: Event::new(),
             is_stopping: AtomicBool::new(false),
+            stop: StopState::default(),
             upstreams_changed: Event::new(),
             urgent_report: Event::new(),
             open_requests: AtomicU64::new(0),
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -18,6 +18,7 @@
 mod quarantine;
 mod requested_backoffs;
 mod retry_window;
+mod run_times;
 mod shared_bucket;
 mod software;
 mod stream_origins;
@@ -44,6 +45,7 @@
     QuarantinedCause, RecentSuccesses, shared_causes,
 };
 pub use retry_window::{RetryDecision, RetryLimits, RetryWindow};
+pub use run_times::RunTimes;
 pub use shared_bucket::{PeerView, SharedTokenBucket};
 pub use software::SoftwareVersion;
 pub use stream_origins::StreamOrigins;
