Answer open calls before a stopping router ends

The same fault as at gateways, found by reading: a router abandons what is open at the drain limit, and its callers see a closed connection. The new test failed before (one call abandoned); it is answered with 504 now, and streams are broken off, 200 ms before the limit.

The countdown that gateways had got moves to the runtime crate.

--- a/crates/sequoiawing_gateway/src/daemon.rs
+++ b/crates/sequoiawing_gateway/src/daemon.rs
@@ -191,7 +191,9 @@
         let mut exchange = GatewayExchange::new(state.now(), state.index(), request);
         let arrival = exchange.arrival;
         let result = state
-            .before_last_answer(self.chain.run(&mut exchange))
+            .stop
+            .last_answer
+            .or(self.chain.run(&mut exchange))
             .await;
         let result = result.unwrap_or_else(|| Err(GatewayState::last_answer(&exchange)));
         let latency = state.now().since(arrival);
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -75,7 +75,7 @@
             return None;
         }
         let state = self.state.clone();
-        let next = state.before_last_answer(self.next_events()).await;
+        let next = state.stop.last_answer.or(self.next_events()).await;
         next.unwrap_or_else(|| {
             let cause = "this host ends before the stream does";
             Some(Err(self.abort(AttemptOutcome::Cancelled, cause)))
--- a/crates/sequoiawing_gateway/src/stop.rs
+++ b/crates/sequoiawing_gateway/src/stop.rs
@@ -1,12 +1,12 @@
 //! The end of a gateway: until when requests are answered, and which still can be.
 
 use crate::{GatewayExchange, GatewayState, slots::Slot};
-use futures_lite::FutureExt;
+use parking_lot::Mutex;
 use sequoiawing_policy::serving::RunTimes;
 use sequoiawing_router::{Code, Refused};
-use sequoiawing_runtime::{Watch, sleep};
-use sequoiawing_types::{Ran, Time};
-use std::{future::Future, sync::atomic::Ordering, time::Duration};
+use sequoiawing_runtime::Countdown;
+use sequoiawing_types::Ran;
+use std::{sync::atomic::Ordering, time::Duration};
 
 /// The time before the end of the drain in which the last answers are written.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
@@ -17,9 +17,9 @@
 /// What a gateway knows of its end.
 #[derive(Default)]
 pub(crate) struct StopState {
-    /// When all requests have to be answered; `None` unless the gateway is stopping.
-    last_answer: Watch<Option<Time>>,
-    run_times: parking_lot::Mutex<RunTimes>,
+    /// Ends when all requests have to be answered.
+    pub(crate) last_answer: Countdown,
+    run_times: Mutex<RunTimes>,
 }
 
 impl GatewayState {
@@ -34,26 +34,7 @@
             "Stopping."
         );
         self.is_stopping.store(true, Ordering::Relaxed);
-        self.stop.last_answer.set(Some(self.now() + left));
-    }
-
-    /// Waits until the last answers have to be written.
-    async fn wait_for_last_answer(&self) {
-        let last = self.stop.last_answer.wait_until(Option::is_some).await;
-        sleep(last.unwrap_or_default().since(self.now())).await;
-    }
-
-    /// Runs a future; returns `None` if the last answers have to be written before it
-    /// completes.
-    pub(crate) async fn before_last_answer<F>(&self, future: F) -> Option<F::Output>
-    where
-        F: Future,
-    {
-        let ended = async {
-            self.wait_for_last_answer().await;
-            None
-        };
-        ended.or(async { Some(future.await) }).await
+        self.stop.last_answer.begin(left);
     }
 
     /// Records how long an upstream took for a complete answer.
@@ -71,10 +52,9 @@
     ///
     /// Returns its refusal if no request of its route ended that fast lately.
     pub(crate) fn check_stop(&self, exchange: &GatewayExchange) -> Result<(), Refused> {
-        let Some(last) = self.stop.last_answer.get() else {
+        let Some(left) = self.stop.last_answer.left() else {
             return Ok(());
         };
-        let left = last.since(self.now());
         let run_times = self.stop.run_times.lock();
         if run_times.may_end_within(&exchange.route.name, left) {
             return Ok(());
--- a/crates/sequoiawing_router/src/daemon.rs
+++ b/crates/sequoiawing_router/src/daemon.rs
@@ -16,7 +16,7 @@
 };
 use sequoiawing_runtime::{Shutdown, Task, sleep, spawn, timeout};
 use sequoiawing_tables::{KeyId, Tables};
-use sequoiawing_types::Name;
+use sequoiawing_types::{Name, Ran};
 use serde::de::DeserializeOwned;
 use std::{
     io,
@@ -29,6 +29,9 @@
 /// The retry delay for callers that are refused because of too many connections.
 const BUSY_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// The time before the end of the drain in which the last answers are written.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// The path of the health check on the callers' listener.
 const HEALTH_PATH: &str = "/sequoiawing/health";
 
@@ -163,11 +166,17 @@
     /// noticed, closes the callers' listener and waits for open requests.
     ///
     /// Everything else keeps running meanwhile, so that requests that wait for a
-    /// load or a retry are served. Returns the number of requests that were still
+    /// load or a retry are served. Shortly before the drain limit, requests without a
+    /// response are answered and streams are broken off. Returns the number of requests that were still
     /// open at the drain limit, which are listed in the log.
     pub async fn stop(self) -> usize {
         log::info!(target: "router", "Shutting down; the health check now fails.");
         self.state.draining.store(true, Ordering::Relaxed);
+        let settings = &self.state.settings;
+        let time = Duration::from_millis(settings.farewell + settings.drain);
+        self.state
+            .last_answer
+            .begin(time.saturating_sub(ANSWER_TIME));
         sleep(Duration::from_millis(self.state.settings.farewell)).await;
         self.callers_shutdown.start();
         let limit = Duration::from_millis(self.state.settings.drain);
@@ -220,7 +229,15 @@
         let mut exchange = Exchange::new(self.state.now(), request);
         let request = exchange.request_id.clone();
         let open = OpenRequestGuard::new(self.state.clone(), request.clone());
-        let result = self.chain.run(&mut exchange).await;
+        let result = self
+            .state
+            .last_answer
+            .or(self.chain.run(&mut exchange))
+            .await;
+        let result = result.unwrap_or_else(|| {
+            let problem = "the response did not begin before this host ends";
+            Err(Refused::new(Code::TimedOut, problem).with_ran(Ran::Unknown))
+        });
         let mut response = result.unwrap_or_else(|refused| {
             log::debug!(target: "router", "Refused request {request}: {}.", refused.message);
             refused.into_response()
--- a/crates/sequoiawing_router/src/open_requests.rs
+++ b/crates/sequoiawing_router/src/open_requests.rs
@@ -77,16 +77,23 @@
     }
 }
 
-/// A response body that keeps its request registered until it is dropped.
+/// A response body that keeps its request registered until it is dropped, and breaks off
+/// when the router ends.
 pub(crate) struct TrackedBody {
     body: Body,
+    /// Completes when the last answers have to be written.
+    end: Pin<Box<dyn Future<Output = ()> + Send>>,
+    has_ended: bool,
     _guard: OpenRequestGuard,
 }
 
 impl TrackedBody {
     pub(crate) fn new(body: Body, guard: OpenRequestGuard) -> Self {
+        let state = guard.state.clone();
         Self {
             body,
+            end: Box::pin(async move { state.last_answer.wait().await }),
+            has_ended: false,
             _guard: guard,
         }
     }
@@ -100,7 +107,16 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if polled.is_pending() && self.end.as_mut().poll(cx).is_ready() {
+            self.has_ended = true;
+            let cause = "this host ends before the response does";
+            return Poll::Ready(Some(Err(cause.into())));
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/sequoiawing_router/src/state.rs
+++ b/crates/sequoiawing_router/src/state.rs
@@ -19,7 +19,7 @@
 use sequoiawing_http::Client;
 use sequoiawing_link::{ControlClient, RouterStatus, Secret, Stub, Translations};
 use sequoiawing_policy::{DispatchEvent, DispatchSettings};
-use sequoiawing_runtime::{Clock, Watch};
+use sequoiawing_runtime::{Clock, Countdown, Watch};
 use sequoiawing_tables::{KeyId, Revision, Tables};
 use sequoiawing_telemetry::Meters;
 use sequoiawing_types::{Name, Time};
@@ -74,6 +74,8 @@
     withdraw_lock: Mutex<()>,
     pub(crate) demands: Receiver<Demand>,
     pub(crate) draining: AtomicBool,
+    /// Ends when all requests have to be answered, since the router ends.
+    pub(crate) last_answer: Countdown,
     pub(crate) open: OpenRequests,
     pub(crate) leader: RwLock<Option<Name>>,
     pub(crate) cell: Mutex<Cell>,
@@ -133,6 +135,7 @@
             withdraw_lock: Mutex::new(()),
             demands,
             draining: AtomicBool::new(false),
+            last_answer: Countdown::new(),
             open: OpenRequests::default(),
             leader: RwLock::new(None),
             cell: Mutex::new(cell),
--- a/crates/sequoiawing_runtime/src/lib.rs
+++ b/crates/sequoiawing_runtime/src/lib.rs
@@ -4,11 +4,13 @@
 //! tasks on it, and a [`Shutdown`] signal ends these tasks.
 
 mod clock;
+mod countdown;
 mod executor;
 mod shutdown;
 mod watch;
 
 pub use clock::Clock;
+pub use countdown::Countdown;
 pub use executor::{Task, run, spawn};
 pub use shutdown::{Shutdown, wait_for_signal};
 pub use watch::Watch;
--- a/tests/requests/main.rs
+++ b/tests/requests/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod refusals;
 mod scripted;
+mod stopping;
 mod streams;
 mod upstreams;
 
