Send nothing to upstreams that say in an answer that they leave

A host now keeps which start of an upstream said so; older reports and entries that flap do not end it, a new start does. It is checked when an upstream is chosen and before the first byte is sent. Other hosts do not learn of it from here; they do from the announcement.

--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -30,10 +30,10 @@
     /// No byte of the request was sent.
     #[error("the request was not sent: {0}")]
     NotSent(String),
-    /// The upstream has asked for no requests since it was chosen. No byte of the request
+    /// The upstream wants no requests any more since it was chosen. No byte of the request
     /// was sent.
     #[error("{0}")]
-    BackingOff(String),
+    Unwanted(String),
     /// The upstream reported that it did not run the request.
     #[error("the upstream did not run the request: {0:?}")]
     NotRun(ResponseKind),
@@ -87,13 +87,13 @@
 impl AttemptError {
     /// Returns whether any part of the request was sent.
     pub(crate) fn was_sent(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::BackingOff(_))
+        !matches!(self, Self::NotSent(_) | Self::Unwanted(_))
     }
 
     /// Returns the outcome that the balancer records for the upstream.
     fn outcome(&self) -> AttemptOutcome {
         match self {
-            Self::BackingOff(_) => AttemptOutcome::Cancelled,
+            Self::Unwanted(_) => AttemptOutcome::Cancelled,
             Self::NotRun(ResponseKind::Full) => AttemptOutcome::Full,
             Self::NotRun(ResponseKind::Lacking) => AttemptOutcome::ModelMissing,
             Self::TimedOut | Self::ServerError(..) => AttemptOutcome::Failed,
@@ -141,10 +141,7 @@
     let request = build_request(exchange)?;
     let possible_run = PossibleRun::new(exchange);
     let prepare = |request: &mut Request<Body>| {
-        if let Some(backoff) = state.backoff(slot.upstream()) {
-            let wait = millis(backoff);
-            return Err(format!("the upstream wants no requests for {wait} ms"));
-        }
+        state.check_wanted(&slot.assignment)?;
         let attempt = Attempt {
             upstream: slot.upstream(),
             remaining: exchange.remaining(state.now()),
@@ -177,7 +174,7 @@
         }
         ClientError::Stopped(cause) => {
             possible_run.withdraw();
-            AttemptError::BackingOff(cause)
+            AttemptError::Unwanted(cause)
         }
         error => {
             state.record_broken_answer(exchange, slot);
--- a/crates/sequoiawing_gateway/src/filters/forward.rs
+++ b/crates/sequoiawing_gateway/src/filters/forward.rs
@@ -181,7 +181,7 @@
     ) -> Result<(), Refused> {
         let ran = progress.ran;
         match failure {
-            AttemptError::NotSent(cause) | AttemptError::BackingOff(cause) => {
+            AttemptError::NotSent(cause) | AttemptError::Unwanted(cause) => {
                 progress.connect_failures += 1;
                 if progress.connect_failures < MAX_CONNECT_FAILURES {
                     return Ok(());
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -87,6 +87,9 @@
             ToleranceNotice::Sound => self.observe_tolerance(None),
             ToleranceNotice::Unknown => {}
         }
+        if notice.is_leaving {
+            self.state.record_departure(&self.assignment);
+        }
         if let Some(span) = notice.retry_after {
             self.state.request_backoff(self.upstream(), span);
         }
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -420,9 +420,36 @@
         }
     }
 
-    /// Returns how long an upstream still wants no requests from this host.
-    pub(crate) fn backoff(&self, upstream: &Name) -> Option<Duration> {
-        self.balancer.lock().backoff(self.now(), upstream)
+    /// Records that an upstream said in an answer that it leaves.
+    pub(crate) fn record_departure(&self, assignment: &Assignment) {
+        let Assignment { name, epoch, .. } = assignment;
+        if self.balancer.lock().record_departure(name, *epoch) {
+            log::info!(
+                target: "gateway", upstream = name.as_str(), start = epoch;
+                "Upstream leaves, as it said in an answer."
+            );
+        }
+    }
+
+    /// Checks that an upstream still wants a request that was assigned to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if the upstream has asked for no requests, or has said that it
+    /// leaves, since the assignment.
+    pub(crate) fn check_wanted(&self, assignment: &Assignment) -> Result<(), String> {
+        let Assignment { name, epoch, .. } = assignment;
+        let balancer = self.balancer.lock();
+        if balancer.has_departed(name, *epoch) {
+            return Err("the upstream leaves".to_owned());
+        }
+        match balancer.backoff(self.now(), name) {
+            Some(backoff) => {
+                let wait = backoff.as_millis();
+                Err(format!("the upstream wants no requests for {wait} ms"))
+            }
+            None => Ok(()),
+        }
     }
 
     /// Returns after which time a refused request may come back, if all upstreams that could
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -169,6 +169,9 @@
     /// The number of hosts that send requests.
     hosts: u32,
     backoffs: RequestedBackoffs,
+    /// The upstreams that said in an answer that they leave, with their epochs. They are
+    /// kept beyond their entries, which may flap.
+    departures: HashMap<Name, u64>,
 }
 
 impl Balancer {
@@ -357,7 +360,7 @@
         for key in keys {
             let upstream = &self.upstreams[*key];
             let state = &upstream.state;
-            if state.leaving || (upstream.is_silent && !all_silent) {
+            if self.is_leaving(state) || (upstream.is_silent && !all_silent) {
                 continue;
             }
             let needed = request.software.as_ref();
@@ -427,7 +430,7 @@
     }
 
     /// Assigns a request to a brittle upstream at which it has a place; returns `None` if
-    /// that start of the upstream is gone or wants no requests.
+    /// that start of the upstream is gone, leaves or wants no requests.
     pub fn assign_place(
         &mut self,
         now: Time,
@@ -435,8 +438,9 @@
         candidate: &PlaceCandidate,
     ) -> Option<Assignment> {
         let key = *self.names.get(&candidate.name)?;
-        let is_same_start = self.upstreams[key].state.epoch == candidate.epoch;
-        if !is_same_start || self.due(now, request, &candidate.name).is_some() {
+        let state = &self.upstreams[key].state;
+        let is_usable = state.epoch == candidate.epoch && !self.is_leaving(state);
+        if !is_usable || self.due(now, request, &candidate.name).is_some() {
             return None;
         }
         match self.assign(now, key, request) {
@@ -611,6 +615,26 @@
         upstream.tolerance.rate() != former
     }
 
+    /// Records that a start of an upstream said that it leaves; returns whether that is
+    /// news.
+    pub fn record_departure(&mut self, upstream: &Name, epoch: u64) -> bool {
+        let is_older = |known: u64| known >= epoch;
+        if self.departures.get(upstream).copied().is_some_and(is_older) {
+            return false;
+        }
+        self.departures.insert(upstream.clone(), epoch);
+        true
+    }
+
+    /// Returns whether a start of an upstream said that it leaves.
+    pub fn has_departed(&self, upstream: &Name, epoch: u64) -> bool {
+        self.departures.get(upstream) == Some(&epoch)
+    }
+
+    fn is_leaving(&self, state: &UpstreamState) -> bool {
+        state.leaving || self.has_departed(&state.name, state.epoch)
+    }
+
     /// Records that an upstream wants no requests from this host for a time; returns
     /// whether that ends later than what it asked for before.
     pub fn request_backoff(&mut self, now: Time, upstream: &Name, span: Duration) -> bool {
@@ -631,7 +655,7 @@
         let needed = request.software.as_ref();
         let serving = keys.iter().map(|key| &self.upstreams[*key]).filter(|u| {
             let state = &u.state;
-            !state.leaving
+            !self.is_leaving(state)
                 && (!u.is_silent || all_silent)
                 && needed.is_none_or(|software| software.is_of(state))
                 && self.can_serve(now, state, request)
--- a/crates/sequoiawing_policy/tests/requested_backoffs/main.rs
+++ b/crates/sequoiawing_policy/tests/requested_backoffs/main.rs
@@ -135,6 +135,41 @@
     assert!(alone.is_none(), "{alone:?}");
 }
 
+macro_rules! departures {
+    ($($name:ident: $disturb:expr => $is_used:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut balancer = Balancer::default();
+            list(&mut balancer, upstream("a", 2, 80), false);
+            assert!(balancer.record_departure(&Name::from("a"), 2));
+            let disturb: fn(&mut Balancer) = $disturb;
+            disturb(&mut balancer);
+            let pick = balancer.pick(Time::from_millis(1_000), &request());
+            assert_eq!(matches!(pick, PickResult::Assigned(_)), $is_used, "{pick:?}");
+        }
+    )*};
+}
+
+// Guard against requests to an upstream that has said that it leaves, because of a report
+// that does not know it yet.
+departures! {
+    a_departure_holds: |_| () => false;
+    a_departure_outlives_an_older_report: |b| list(b, upstream("a", 2, 80), false) => false;
+    a_departure_outlives_an_entry_that_flaps_once: |b| {
+        list(b, upstream("a", 2, 80), true);
+        list(b, upstream("a", 2, 80), false);
+    } => false;
+    a_departure_outlives_a_silence_of_all_others: |b| {
+        list(b, upstream("b", 1, 81), false);
+        b.set_silent(&HashSet::from([Name::from("b")]));
+    } => false;
+    a_departure_ends_with_a_new_start: |b| list(b, upstream("a", 3, 80), false) => true;
+    a_departure_of_an_earlier_start_is_no_news: |b| {
+        list(b, upstream("a", 3, 80), false);
+        assert!(!b.record_departure(&Name::from("a"), 1));
+    } => true;
+}
+
 #[test]
 fn requests_go_to_the_other_upstreams() {
     let mut balancer = Balancer::default();
