--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -120,7 +120,7 @@
 }
 
 /// Adds the times in which runners refuse some requests and want no others for seconds,
-/// and planned stops within them. They are drawn apart, as above.
+/// and planned stops within them, beside slow runners in half of these times. They are drawn apart, as above.
 fn add_backoffs(seed: u64, size: &Size, end: u64, steps: &mut Vec<Step>) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     random.set_stream(2);
@@ -130,6 +130,7 @@
         let mode = Mode {
             refuse: random.random_range(0.05..0.5),
             retry_after: f64::from(random.random_range(10..45_u32)) / 10.0,
+            slow: if random.random_bool(0.5) { 40.0 } else { 1.0 },
             ..Mode::default()
         };
         let length = random.random_range(6_000..10_000);
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -28,7 +28,7 @@
 };
 
 /// One of so many callers sends its requests in two parts.
-const SLOW: usize = 6;
+const SLOW: usize = 3;
 
 /// The settings of a run.
 #[derive(Clone, Debug)]
