Name the request in the last answers of a stopping gateway

What callers saw: a request that was whole in the last 200 ms of the drain was answered 503 with an empty Attempt-Id.

Cause: the countdown was polled before the request's own future, so that the answer was written before the headers were parsed. The future runs first now, and nothing is sent once no time is left. A refusal whose request has no ID has no such header any more.

--- a/crates/sequoiawing_gateway/src/daemon.rs
+++ b/crates/sequoiawing_gateway/src/daemon.rs
@@ -201,7 +201,7 @@
             Ok(response) => response,
             Err(refused) => {
                 log_refusal(&exchange, &refused, latency);
-                let id = Some(&exchange.meta.id);
+                let id = Some(&exchange.meta.id).filter(|id| !id.as_str().is_empty());
                 let mut response = state.dialect.refusal_response(&refused, id);
                 if state.is_isolated() || state.is_stopping.load(Ordering::Relaxed) {
                     // The caller's next connection leads to another host.
--- a/crates/sequoiawing_gateway/src/stop.rs
+++ b/crates/sequoiawing_gateway/src/stop.rs
@@ -56,7 +56,7 @@
             return Ok(());
         };
         let run_times = self.stop.run_times.lock();
-        if run_times.may_end_within(&exchange.route.name, left) {
+        if !left.is_zero() && run_times.may_end_within(&exchange.route.name, left) {
             return Ok(());
         }
         let problem = format!(
--- a/crates/sequoiawing_runtime/src/countdown.rs
+++ b/crates/sequoiawing_runtime/src/countdown.rs
@@ -35,7 +35,8 @@
         sleep(end.unwrap_or_default().saturating_sub(self.clock.elapsed())).await;
     }
 
-    /// Runs a future; returns `None` if the countdown ends before it completes.
+    /// Runs a future; returns `None` if the countdown ends before it completes. Once the
+    /// countdown has ended, a future still runs to the first point at which it waits.
     pub async fn or<F>(&self, future: F) -> Option<F::Output>
     where
         F: Future,
@@ -44,7 +45,7 @@
             self.wait().await;
             None
         };
-        ended.or(async { Some(future.await) }).await
+        async { Some(future.await) }.or(ended).await
     }
 }
 
