--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -66,7 +66,15 @@
             let address = SocketAddr::new(deployment.ip(100 + i), 8080);
             let work = Duration::from_millis(60);
             let id = format!("i-7f3a91c{i}");
-            let runner = Runner::start(&id, SERVICE, address, address, work, nodes.clone(), record.clone());
+            let runner = Runner::start(
+                &id,
+                SERVICE,
+                address,
+                address,
+                work,
+                nodes.clone(),
+                record.clone(),
+            );
             runners.push(runner.map_err(|e| e.to_string())?);
         }
         wait_ready(&deployment)?;
@@ -79,7 +87,11 @@
             runners,
             clients,
         };
-        if world.runners.iter().any(|r| r.runs.lock().unwrap().is_empty()) {
+        if world
+            .runners
+            .iter()
+            .any(|r| r.runs.lock().unwrap().is_empty())
+        {
             return Err("a runner got no request".to_owned());
         }
         Ok(world)
@@ -89,9 +101,16 @@
     fn roles(&self) -> Result<(usize, usize), String> {
         let nodes = self.deployment.controls();
         for (number, node) in nodes.iter().enumerate() {
-            let body = self.runners[1].heartbeat_to(*node).ok_or("a heartbeat was not acknowledged")?;
-            let Some(leader) = heartbeat_address(&body) else { continue };
-            let leader = nodes.iter().position(|n| *n == leader).ok_or("the leader is unknown")?;
+            let body = self.runners[1]
+                .heartbeat_to(*node)
+                .ok_or("a heartbeat was not acknowledged")?;
+            let Some(leader) = heartbeat_address(&body) else {
+                continue;
+            };
+            let leader = nodes
+                .iter()
+                .position(|n| *n == leader)
+                .ok_or("the leader is unknown")?;
             return Ok((leader, number));
         }
         Err("no node names another one".to_owned())
@@ -106,7 +125,9 @@
         let mut late = 0;
         let mut lost = 0;
         for run in &runs {
-            let Some(client) = sent.get(&run.attempt) else { continue };
+            let Some(client) = sent.get(&run.attempt) else {
+                continue;
+            };
             if run.at <= acknowledged + DRAIN || client.at < in_touch {
                 continue;
             }
@@ -128,7 +149,8 @@
 
 /// Starts the machines and puts a configuration in force.
 fn deploy(platform: &Path, record: &Record, text: &str) -> Result<Deployment, String> {
-    let deployment = Deployment::start(platform, record.clone(), CORE, EDGE).map_err(|e| e.to_string())?;
+    let deployment =
+        Deployment::start(platform, record.clone(), CORE, EDGE).map_err(|e| e.to_string())?;
     if !deployment.configure(text) {
         return Err("the configuration was not acknowledged".to_owned());
     }
@@ -152,10 +174,14 @@
 fn departure_lost(platform: &Path, record: &Record, trouble: &str) -> Outcome {
     let mut world = World::start(platform, record)?;
     let (leader, other) = world.roles()?;
-    record.line(&format!("core-{leader} leads; the runner will deregister at core-{other}"));
+    record.line(&format!(
+        "core-{leader} leads; the runner will deregister at core-{other}"
+    ));
     let nodes = world.deployment.controls();
     let runner = world.runners[0].clone();
-    runner.heartbeat_to(nodes[leader]).ok_or("a heartbeat was not acknowledged")?;
+    runner
+        .heartbeat_to(nodes[leader])
+        .ok_or("a heartbeat was not acknowledged")?;
     if !runner.deregister_at(nodes[other]) {
         return Err("the departure was not acknowledged".to_owned());
     }
@@ -164,7 +190,10 @@
     if trouble != "0" {
         world.deployment.kill_core(other);
         sleep(Duration::from_millis(300));
-        let started = world.deployment.start_core(other).map_err(|e| e.to_string())?;
+        let started = world
+            .deployment
+            .start_core(other)
+            .map_err(|e| e.to_string())?;
         in_touch = started + CONTACT + MARGIN;
     }
     // It serves for drain_ms and some seconds longer.
@@ -188,7 +217,10 @@
     let mut in_touch = begin;
     if cut {
         runner.is_cut.store(true, Ordering::SeqCst);
-        record.line(&format!("{} is cut off from all nodes that serve control", runner.id));
+        record.line(&format!(
+            "{} is cut off from all nodes that serve control",
+            runner.id
+        ));
     }
     sleep(Duration::from_millis(200));
     if kill {
@@ -232,7 +264,9 @@
         return ExitCode::from(2);
     };
     let nodes: Vec<SocketAddr> = nodes.iter().filter_map(|node| node.parse().ok()).collect();
-    let (Ok(listens), Ok(address), Ok(record)) = (listens.parse(), address.parse(), Record::of_runner()) else {
+    let (Ok(listens), Ok(address), Ok(record)) =
+        (listens.parse(), address.parse(), Record::of_runner())
+    else {
         return ExitCode::from(2);
     };
     let work = Duration::from_millis(15);
@@ -259,11 +293,22 @@
     }
     wait_ready(&deployment)?;
     // Answers with a length, as usual.
-    let clients = Clients::start(vec![deployment.callers(0)], "grant", Duration::from_millis(15), record.clone());
+    let clients = Clients::start(
+        vec![deployment.callers(0)],
+        "grant",
+        Duration::from_millis(15),
+        record.clone(),
+    );
     sleep(Duration::from_secs(7));
     clients.stop();
     sleep(Duration::from_millis(500));
-    let served = clients.sent.lock().unwrap().values().filter(|s| s.answered.is_some_and(|(_, status)| status == 200)).count();
+    let served = clients
+        .sent
+        .lock()
+        .unwrap()
+        .values()
+        .filter(|s| s.answered.is_some_and(|(_, status)| status == 200))
+        .count();
     if served < 50 {
         return Err(format!("only {served} requests were served before"));
     }
@@ -346,7 +391,10 @@
         let attempt = format!("w{number:07}");
         let answer = call_unframed(gateway, &attempt).map_err(|e| e.to_string())?;
         if answer.status() != 200 || answer.text() != unframed_body(&attempt) {
-            return Err(format!("an answer before the disruption was {}", answer.status()));
+            return Err(format!(
+                "an answer before the disruption was {}",
+                answer.status()
+            ));
         }
     }
     let attempt = "x0000001";
@@ -354,7 +402,9 @@
     let client = std::thread::spawn(move || call_unframed(gateway, attempt));
     let number = RunnerProcess::first_of(&runners, &format!("half {attempt}"))?;
     sleep(Duration::from_millis(100));
-    links[number].loses_silent_end.store(lossy, Ordering::SeqCst);
+    links[number]
+        .loses_silent_end
+        .store(lossy, Ordering::SeqCst);
     if kill {
         runners[number].kill();
     }
@@ -384,7 +434,10 @@
         }
         sleep(Duration::from_millis(150));
     }
-    threads.into_iter().map(|thread| thread.join().unwrap_or(0)).sum()
+    threads
+        .into_iter()
+        .map(|thread| thread.join().unwrap_or(0))
+        .sum()
 }
 
 /// An order of a load is left unanswered; the runner crashes and starts again under its id;
@@ -405,17 +458,36 @@
             delay: Duration::from_secs(11),
             is_next: is_late.clone(),
         };
-        let engine = Engine::start(&id, ENGINES, address, &held, nodes.clone(), late, record.clone());
+        let engine = Engine::start(
+            &id,
+            ENGINES,
+            address,
+            &held,
+            nodes.clone(),
+            late,
+            record.clone(),
+        );
         engines.push(engine.map_err(|e| e.to_string())?);
     }
     wait_ready(&deployment)?;
     sleep(Duration::from_secs(5));
     let gateway = deployment.callers(0);
     let asking = record.clone();
-    let asked = std::thread::spawn(move || ask(&asking, gateway, &["model-z"], Duration::from_millis(600), "z"));
+    let asked = std::thread::spawn(move || {
+        ask(
+            &asking,
+            gateway,
+            &["model-z"],
+            Duration::from_millis(600),
+            "z",
+        )
+    });
     let start = Instant::now();
     let ordered = loop {
-        if let Some(engine) = engines.iter().find(|e| e.was_ordered.load(Ordering::SeqCst)) {
+        if let Some(engine) = engines
+            .iter()
+            .find(|e| e.was_ordered.load(Ordering::SeqCst))
+        {
             break engine.clone();
         }
         if start.elapsed() > Duration::from_secs(6) {
@@ -434,7 +506,16 @@
     // Idle models are loaded where there is room.
     sleep(Duration::from_millis(2_500));
     asked.join().ok();
-    ask(record, gateway, &["model-x", "model-y"], Duration::from_secs(8), "xy");
-    let exceeded: u64 = engines.iter().map(|engine| engine.exceeded.load(Ordering::SeqCst)).sum();
+    ask(
+        record,
+        gateway,
+        &["model-x", "model-y"],
+        Duration::from_secs(8),
+        "xy",
+    );
+    let exceeded: u64 = engines
+        .iter()
+        .map(|engine| engine.exceeded.load(Ordering::SeqCst))
+        .sum();
     Ok(usize::try_from(exceeded).unwrap_or(1))
 }
--- a/review/lib-2/client.rs
+++ b/review/lib-2/client.rs
@@ -34,7 +34,12 @@
 
 impl Clients {
     /// Sends a request at each interval, to the gateways in turn.
-    pub fn start(gateways: Vec<SocketAddr>, route: &'static str, interval: Duration, record: Record) -> Self {
+    pub fn start(
+        gateways: Vec<SocketAddr>,
+        route: &'static str,
+        interval: Duration,
+        record: Record,
+    ) -> Self {
         let clients = Self {
             gateways,
             sent: Arc::default(),
@@ -57,7 +62,9 @@
 
     fn send(&self, gateway: SocketAddr, route: &str, number: usize) {
         let attempt = format!("a{number:06}");
-        let at = self.record.line(&format!("client sends {attempt} to {gateway}"));
+        let at = self
+            .record
+            .line(&format!("client sends {attempt} to {gateway}"));
         let sent = Sent { at, answered: None };
         self.sent.lock().unwrap().insert(attempt.clone(), sent);
         let head = format!(
@@ -68,7 +75,9 @@
             Ok(answer) => (answer.status(), answer.text()),
             Err(error) => (0, error.to_string()),
         };
-        let at = self.record.line(&format!("client gets {status} for {attempt}: {text}"));
+        let at = self
+            .record
+            .line(&format!("client gets {status} for {attempt}: {text}"));
         if let Some(sent) = self.sent.lock().unwrap().get_mut(&attempt) {
             sent.answered = Some((at, status));
         }
--- a/review/lib-2/deployment.rs
+++ b/review/lib-2/deployment.rs
@@ -54,7 +54,8 @@
     /// Starts so many machines of each class for the first time.
     pub fn start(platform: &Path, record: Record, core: usize, edge: usize) -> io::Result<Self> {
         let (network, reserved) = reserve()?;
-        let folder = std::env::temp_dir().join(format!("review-2-{}-{:x}", std::process::id(), random()));
+        let folder =
+            std::env::temp_dir().join(format!("review-2-{}-{:x}", std::process::id(), random()));
         fs::create_dir_all(&folder)?;
         let mut deployment = Self {
             platform: platform.to_owned(),
@@ -109,7 +110,9 @@
 
     /// Returns the addresses of the nodes that serve control.
     pub fn controls(&self) -> Vec<SocketAddr> {
-        (0..self.core.len()).map(|i| SocketAddr::new(self.core_ip(i), CONTROL)).collect()
+        (0..self.core.len())
+            .map(|i| SocketAddr::new(self.core_ip(i), CONTROL))
+            .collect()
     }
 
     pub fn callers(&self, i: usize) -> SocketAddr {
@@ -167,7 +170,10 @@
     }
 
     fn spawn(platform: &Path, machine: &mut Machine) -> io::Result<()> {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&machine.log)?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&machine.log)?;
         let child = Command::new(platform)
             .arg(machine.role)
             .arg(&machine.settings)
@@ -213,7 +219,9 @@
             for node in self.controls() {
                 let answer = wire::post(node, "/Config.Replace", text, Duration::from_secs(1));
                 let status = answer.map_or(0, |answer| answer.status());
-                self.record.line(&format!("operator sends the configuration to {node}: {status}"));
+                self.record.line(&format!(
+                    "operator sends the configuration to {node}: {status}"
+                ));
                 if status == 200 {
                     return true;
                 }
@@ -295,6 +303,7 @@
          \"services\":[{{\"name\":\"{ENGINES}\",\"health_path\":\"/healthz\",\"max_conns\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":64,\"kv_tokens\":232000,\"kv_bytes\":327680,\"link_mbps\":550000.0,\"moves\":true,\"backups\":true,\"stride\":5,\"cap\":12,\"host_mb\":130000.0,\"disk_mb\":1300000.0,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"handle_s\":5.0,\"models\":[{}],\"weights_mb\":{}.0,\"adapter_slots\":8,\"loads_per_s\":7.7}}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
          \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"{KEY}\"],\"priority\":0,\"rate_per_s\":0,\"burst\":0}}]}}",
-        models.join(","), crate::engine::WEIGHTS_MB
+        models.join(","),
+        crate::engine::WEIGHTS_MB
     )
 }
--- a/review/lib-2/engine.rs
+++ b/review/lib-2/engine.rs
@@ -77,7 +77,10 @@
 }
 
 fn weights(model: &str) -> u64 {
-    MODELS.iter().find(|(name, _)| *name == model).map_or(0, |(_, mb)| *mb)
+    MODELS
+        .iter()
+        .find(|(name, _)| *name == model)
+        .map_or(0, |(_, mb)| *mb)
 }
 
 fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
@@ -134,13 +137,19 @@
 
     /// Begins a process that holds some models.
     fn begin(&self, held: &[&str]) {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         *self.state.lock().unwrap() = State {
             born: born.as_millis(),
             loaded: held.iter().map(ToString::to_string).collect(),
             ..State::default()
         };
-        self.record.line(&format!("{} starts, born {}, holds {held:?}", self.id, born.as_millis()));
+        self.record.line(&format!(
+            "{} starts, born {}, holds {held:?}",
+            self.id,
+            born.as_millis()
+        ));
     }
 
     /// Crashes: all connections end, and what was in memory is gone.
@@ -201,10 +210,17 @@
                 Self::settle(&mut state);
                 state.beats += 1;
                 let models = Self::models(&state);
-                let disk: Vec<String> = MODELS.iter().map(|(name, _)| format!("\"{name}\"")).collect();
+                let disk: Vec<String> = MODELS
+                    .iter()
+                    .map(|(name, _)| format!("\"{name}\""))
+                    .collect();
                 let body = format!(
                     "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"khomas-a\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"mixed\",\"models\":[{models}],\"at_hand\":{{\"in_memory\":[],\"on_disk\":[{}]}},\"seq\":{},\"born\":{}}}",
-                    self.service, self.address, disk.join(","), state.beats, state.born
+                    self.service,
+                    self.address,
+                    disk.join(","),
+                    state.beats,
+                    state.born
                 );
                 (body, models)
             };
@@ -215,7 +231,12 @@
             told = models;
             last = Instant::now();
             let path = format!("/Instances.Heartbeat/{}", self.id);
-            for node in next.iter().copied().chain(self.nodes.clone()).collect::<Vec<_>>() {
+            for node in next
+                .iter()
+                .copied()
+                .chain(self.nodes.clone())
+                .collect::<Vec<_>>()
+            {
                 let answer = wire::post(node, &path, &body, CALL_LIMIT);
                 if let Some(answer) = answer.ok().filter(|answer| answer.status() == 200) {
                     next = heartbeat_address(&answer.text()).or(Some(node));
@@ -228,7 +249,9 @@
 
     fn serve(self: Arc<Self>, stream: TcpStream) {
         stream.set_nodelay(true).ok();
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(mut request)) = wire::read_head(&mut reader) {
             if !wire::read_body(&mut reader, &mut request, false) {
@@ -247,9 +270,16 @@
 
     fn answer(self: &Arc<Self>, request: &wire::Message) -> Option<String> {
         let reply = |status: &str, body: &str| {
-            Some(format!("HTTP/1.1 {status}\r\nInstance-Id: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", self.id, body.len()))
+            Some(format!(
+                "HTTP/1.1 {status}\r\nInstance-Id: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                self.id,
+                body.len()
+            ))
         };
-        if request.header("expect-instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
             return reply("421 Misdirected Request", "");
         }
         if request.first.starts_with("GET /report ") {
@@ -257,7 +287,9 @@
             Self::settle(&mut state);
             let body = format!(
                 "{{\"stage\":\"mixed\",\"models\":[{}],\"busy\":{},\"seq\":{},\"waiting\":0,\"running\":0,\"kv_used\":0,\"kv_total\":232000,\"handles\":0}}",
-                Self::models(&state), state.loading.is_some(), state.seq
+                Self::models(&state),
+                state.loading.is_some(),
+                state.seq
             );
             self.record.line(&format!("{} reports {body}", self.id));
             return reply("200 OK", &body);
@@ -276,27 +308,41 @@
                 self.was_ordered.store(true, Ordering::SeqCst);
             }
             if is_it && self.late.is_next.swap(false, Ordering::SeqCst) {
-                self.record.line(&format!("{} leaves unanswered {order:?}", self.id));
+                self.record
+                    .line(&format!("{} leaves unanswered {order:?}", self.id));
                 let engine = self.clone();
                 thread::spawn(move || {
                     thread::sleep(engine.late.delay);
                     let status = engine.carry_out(&order);
-                    engine.record.line(&format!("{} carries out late: {status} for {order:?}", engine.id));
+                    engine.record.line(&format!(
+                        "{} carries out late: {status} for {order:?}",
+                        engine.id
+                    ));
                 });
                 return None;
             }
             let status = self.carry_out(&order);
-            self.record.line(&format!("{} answers {status} to {order:?}", self.id));
+            self.record
+                .line(&format!("{} answers {status} to {order:?}", self.id));
             return reply(status, "");
         }
         let attempt = request.header("attempt-id").unwrap_or("");
         let model = request.header("model").unwrap_or("");
         if !self.holds(model) {
-            return Some(format!("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nInstance-Id: {}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", self.id));
+            return Some(format!(
+                "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nInstance-Id: {}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            ));
         }
         let body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
-        self.record.line(&format!("{} runs {attempt} of {model}", self.id));
-        Some(format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.{attempt}\r\nInstance-Id: {}\r\nContent-Type: text/event-stream\r\nContent-Length: {}\r\n\r\n{body}", self.id, self.id, body.len()))
+        self.record
+            .line(&format!("{} runs {attempt} of {model}", self.id));
+        Some(format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.{attempt}\r\nInstance-Id: {}\r\nContent-Type: text/event-stream\r\nContent-Length: {}\r\n\r\n{body}",
+            self.id,
+            self.id,
+            body.len()
+        ))
     }
 
     /// Carries out an order; returns the status of the answer.
@@ -321,10 +367,16 @@
         }
         let held: u64 = state.loaded.iter().map(|model| weights(model)).sum();
         let needed = held + weights(&order.model);
-        self.record.line(&format!("{} is ordered to hold {needed} MB of {WEIGHTS_MB} MB by {}", self.id, order.holder));
+        self.record.line(&format!(
+            "{} is ordered to hold {needed} MB of {WEIGHTS_MB} MB by {}",
+            self.id, order.holder
+        ));
         if needed > WEIGHTS_MB {
             self.exceeded.fetch_add(1, Ordering::SeqCst);
-            self.record.line(&format!("EXCEEDED: {} holds {:?} and is ordered to load {}", self.id, state.loaded, order.model));
+            self.record.line(&format!(
+                "EXCEEDED: {} holds {:?} and is ordered to load {}",
+                self.id, state.loaded, order.model
+            ));
         }
         state.loading = Some((order.model.clone(), Instant::now() + DISK_LOAD));
         "202 Accepted"
--- a/review/lib-2/link.rs
+++ b/review/lib-2/link.rs
@@ -61,7 +61,8 @@
         copy(&mut from, &mut to, &AtomicBool::new(false));
         let is_silent = !has_sent.load(Ordering::SeqCst);
         if is_silent && self.loses_silent_end.load(Ordering::SeqCst) {
-            self.record.line("link: the packet that ends a connection without requests is lost");
+            self.record
+                .line("link: the packet that ends a connection without requests is lost");
             thread::sleep(RESEND);
             self.record.line("link: it is sent again");
         }
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -14,7 +14,11 @@
 mod wire;
 
 use record::Record;
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    panic::{AssertUnwindSafe, catch_unwind},
+    path::PathBuf,
+    process::ExitCode,
+};
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
@@ -30,7 +34,10 @@
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
-    match cases::play(case, &PathBuf::from(platform), &record, &trouble) {
+    let platform = PathBuf::from(platform);
+    let play = AssertUnwindSafe(|| cases::play(case, &platform, &record, &trouble));
+    let outcome = catch_unwind(play).unwrap_or_else(|_| Err("the script failed".to_owned()));
+    match outcome {
         Ok(0) => {
             record.show("the rule held");
             ExitCode::SUCCESS
--- a/review/lib-2/runner.rs
+++ b/review/lib-2/runner.rs
@@ -65,7 +65,9 @@
         record: Record,
     ) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind(listens)?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let runner = Arc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -107,7 +109,9 @@
     }
 
     fn serve(&self, stream: TcpStream) {
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(mut request)) = wire::read_head(&mut reader) {
             if !wire::read_body(&mut reader, &mut request, false) {
@@ -125,7 +129,9 @@
     }
 
     fn is_for_this(&self, request: &wire::Message) -> bool {
-        request.header("expect-instance").is_none_or(|id| id == self.id)
+        request
+            .header("expect-instance")
+            .is_none_or(|id| id == self.id)
     }
 
     /// Answers in two parts, without a length; the end of the connection ends the body.
@@ -150,7 +156,10 @@
     fn answer(&self, request: &wire::Message) -> String {
         let attempt = request.header("attempt-id").unwrap_or("").to_owned();
         if request.first.contains(" /healthz ") {
-            return format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+            return format!(
+                "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
         }
         let expected = request.header("expect-instance");
         if expected.is_some_and(|id| id != self.id) {
@@ -168,7 +177,9 @@
         let body = format!("{} ran {attempt}", self.id);
         format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.{attempt}\r\nInstance-Id: {}\r\nInstance-Load: 1,0,6\r\nContent-Length: {}\r\n\r\n{body}",
-            self.id, self.id, body.len()
+            self.id,
+            self.id,
+            body.len()
         )
     }
 
@@ -195,7 +206,10 @@
     pub fn heartbeat_to(&self, target: SocketAddr) -> Option<String> {
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
         if self.is_cut.load(Ordering::SeqCst) {
-            self.record.line(&format!("{} heartbeat {seq} to {target}: lost, the link is cut", self.id));
+            self.record.line(&format!(
+                "{} heartbeat {seq} to {target}: lost, the link is cut",
+                self.id
+            ));
             thread::sleep(CALL_LIMIT);
             return None;
         }
@@ -209,7 +223,8 @@
             Ok(answer) => format!("{} {}", answer.status(), answer.text()),
             Err(error) => error.to_string(),
         };
-        self.record.line(&format!("{} heartbeat {seq} to {target}: {text}", self.id));
+        self.record
+            .line(&format!("{} heartbeat {seq} to {target}: {text}", self.id));
         let answer = answer.ok().filter(|answer| answer.status() == 200)?;
         let body = answer.text();
         *self.next.lock().unwrap() = heartbeat_address(&body).or(Some(target));
@@ -224,7 +239,8 @@
         let path = format!("/Instances.Deregister/{}", self.id);
         let answer = wire::post(target, &path, &body, CALL_LIMIT);
         let status = answer.as_ref().map_or(0, wire::Message::status);
-        self.record.line(&format!("{} deregisters at {target}: {status}", self.id));
+        self.record
+            .line(&format!("{} deregisters at {target}: {status}", self.id));
         status == 200
     }
 
--- a/review/lib-2/runner_process.rs
+++ b/review/lib-2/runner_process.rs
@@ -19,10 +19,20 @@
 }
 
 impl RunnerProcess {
-    pub fn start(id: &str, listens: SocketAddr, address: SocketAddr, nodes: &[SocketAddr], record: &Record) -> Result<Self, String> {
+    pub fn start(
+        id: &str,
+        listens: SocketAddr,
+        address: SocketAddr,
+        nodes: &[SocketAddr],
+        record: &Record,
+    ) -> Result<Self, String> {
         let program = std::env::current_exe().map_err(|e| e.to_string())?;
         let mut command = Command::new(program);
-        command.arg("runner").arg(id).arg(listens.to_string()).arg(address.to_string());
+        command
+            .arg("runner")
+            .arg(id)
+            .arg(listens.to_string())
+            .arg(address.to_string());
         command.args(nodes.iter().map(ToString::to_string));
         command.stdin(Stdio::null()).stdout(Stdio::piped());
         let mut child = command.spawn().map_err(|e| e.to_string())?;
--- a/review/lib-2/wire.rs
+++ b/review/lib-2/wire.rs
@@ -17,7 +17,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut found = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        let mut found = self
+            .headers
+            .iter()
+            .filter(|(n, _)| n.eq_ignore_ascii_case(name));
         found.next().map(|(_, value)| value.as_str())
     }
 
@@ -62,7 +65,9 @@
             return Ok(Some(message));
         }
         let (name, value) = line.split_once(':').ok_or_else(|| broken("no header"))?;
-        message.headers.push((name.to_owned(), value.trim().to_owned()));
+        message
+            .headers
+            .push((name.to_owned(), value.trim().to_owned()));
     }
 }
 
@@ -86,7 +91,10 @@
             message.body.extend_from_slice(&chunk[..size]);
         }
     }
-    let Some(length) = message.header("content-length").and_then(|l| l.parse().ok()) else {
+    let Some(length) = message
+        .header("content-length")
+        .and_then(|l| l.parse().ok())
+    else {
         return !to_end || reader.read_to_end(&mut message.body).is_ok();
     };
     let mut body = vec![0; length];
@@ -101,7 +109,9 @@
 pub fn call(address: SocketAddr, head: &str, body: &str, limit: Duration) -> io::Result<Message> {
     let start = Instant::now();
     let mut stream = TcpStream::connect_timeout(&address, limit)?;
-    let rest = limit.saturating_sub(start.elapsed()).max(Duration::from_millis(1));
+    let rest = limit
+        .saturating_sub(start.elapsed())
+        .max(Duration::from_millis(1));
     stream.set_read_timeout(Some(rest))?;
     stream.set_nodelay(true)?;
     let request = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
