--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -337,7 +337,12 @@
         deployment.signal_edge(0, "CONT");
     }
     let answer = client.join().map_err(|_| "the client failed")?;
-    Ok(judge(record, attempt, &answer))
+    let broken = judge(record, attempt, &answer);
+    let is_whole = answer.is_ok_and(|a| a.status() == 200 && a.text() == unframed_body(attempt));
+    if trouble == "0" && !is_whole {
+        return Err("there was no whole answer without the disruption".to_owned());
+    }
+    Ok(broken)
 }
 
 /// Returns whether the client has a success with less than the runner's whole body.
@@ -409,7 +414,12 @@
         runners[number].kill();
     }
     let answer = client.join().map_err(|_| "the client failed")?;
-    Ok(judge(record, attempt, &answer))
+    let broken = judge(record, attempt, &answer);
+    let is_whole = answer.is_ok_and(|a| a.status() == 200 && a.text() == unframed_body(attempt));
+    if trouble == "0" && !is_whole {
+        return Err("there was no whole answer without the disruption".to_owned());
+    }
+    Ok(broken)
 }
 
 /// Asks for a model some times a second; returns how many answers were a success.
--- a/review/lib-2/deployment.rs
+++ b/review/lib-2/deployment.rs
@@ -1,7 +1,7 @@
 //! The project's own processes, with the commands of the deploy file, on a loopback network
 //! of their own.
 
-use crate::{record::Record, wire};
+use crate::{children, record::Record, wire};
 use std::{
     collections::hash_map::RandomState,
     fs,
@@ -57,6 +57,7 @@
         let folder =
             std::env::temp_dir().join(format!("review-2-{}-{:x}", std::process::id(), random()));
         fs::create_dir_all(&folder)?;
+        children::set_folder(&folder);
         let mut deployment = Self {
             platform: platform.to_owned(),
             folder,
@@ -181,6 +182,7 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
+        children::add(&child);
         machine.child = Some(child);
         Ok(())
     }
@@ -198,8 +200,7 @@
     /// Kills a process of the core; its disk stays.
     pub fn kill_core(&mut self, i: usize) -> Duration {
         if let Some(mut child) = self.core[i].child.take() {
-            child.kill().ok();
-            child.wait().ok();
+            children::end(&mut child);
         }
         self.record.line(&format!("core-{i} is killed"))
     }
@@ -254,8 +255,7 @@
         for machine in self.core.iter_mut().chain(&mut self.edge) {
             if let Some(mut child) = machine.child.take() {
                 // A stopped process is killed as well.
-                child.kill().ok();
-                child.wait().ok();
+                children::end(&mut child);
             }
         }
         if std::env::var("KEEP").is_err() {
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -4,6 +4,7 @@
 //! it held, and 2 if the case could not run. With TROUBLE=0 the disruption is left out.
 
 mod cases;
+mod children;
 mod client;
 mod deployment;
 mod engine;
@@ -34,6 +35,7 @@
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
+    children::watch();
     let platform = PathBuf::from(platform);
     let play = AssertUnwindSafe(|| cases::play(case, &platform, &record, &trouble));
     let outcome = catch_unwind(play).unwrap_or_else(|_| Err("the script failed".to_owned()));
--- a/review/lib-2/runner_process.rs
+++ b/review/lib-2/runner_process.rs
@@ -1,6 +1,6 @@
 //! A runner in a process of its own, which can be killed.
 
-use crate::record::Record;
+use crate::{children, record::Record};
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
@@ -37,6 +37,7 @@
         command.stdin(Stdio::null()).stdout(Stdio::piped());
         let mut child = command.spawn().map_err(|e| e.to_string())?;
         record.line(&format!("runner {id} starts at {address}"));
+        children::add(&child);
         let output = child.stdout.take().ok_or("no output")?;
         let (sender, lines) = channel();
         let (copy, name) = (record.clone(), id.to_owned());
@@ -82,15 +83,13 @@
     }
 
     pub fn kill(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
+        children::end(&mut self.child);
         self.record.line(&format!("runner {} is killed", self.id));
     }
 }
 
 impl Drop for RunnerProcess {
     fn drop(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
+        children::end(&mut self.child);
     }
 }
