--- a/crates/sequoiawing_controller/src/core.rs
+++ b/crates/sequoiawing_controller/src/core.rs
@@ -104,7 +104,7 @@
             peer_addresses: HashMap::new(),
             clock,
             replica: started,
-            state_machine: StateMachine::new(handle.published.clone()),
+            state_machine: StateMachine::new(handle.published.clone(), handle.departures.clone()),
             handle: handle.clone(),
             jobs,
             transport: Transport::new(secret, translations, shutdown),
--- a/crates/sequoiawing_controller/src/daemon.rs
+++ b/crates/sequoiawing_controller/src/daemon.rs
@@ -83,6 +83,7 @@
         let handle = ControllerHandle {
             requests: request_sender,
             published: Watch::default(),
+            departures: Watch::default(),
             status: Watch::default(),
             leadership: Watch::new(None),
             clock: Clock::start(),
--- a/crates/sequoiawing_controller/src/handle.rs
+++ b/crates/sequoiawing_controller/src/handle.rs
@@ -6,7 +6,7 @@
 use sequoiawing_consensus::{Envelope, MemberChange};
 use sequoiawing_link::{ControlError, ControlStatus};
 use sequoiawing_runtime::{Clock, Watch, timeout};
-use sequoiawing_tables::{Command, Outcome, Revision, Tables};
+use sequoiawing_tables::{Command, Departures, Outcome, Revision, Tables};
 use std::{
     sync::{
         Arc,
@@ -20,6 +20,7 @@
 pub struct ControllerHandle {
     pub(crate) requests: Sender<Request>,
     pub(crate) published: Watch<Arc<Tables>>,
+    pub(crate) departures: Watch<Arc<Departures>>,
     pub(crate) status: Watch<ControlStatus>,
     pub(crate) leadership: Watch<Option<Leadership>>,
     pub(crate) clock: Clock,
@@ -91,6 +92,17 @@
         timeout(wait, self.published.wait_until(is_newer)).await
     }
 
+    /// Returns the departures that were applied here, and so are committed.
+    pub fn departures(&self) -> Arc<Departures> {
+        self.departures.get()
+    }
+
+    /// Waits until departures after `revision` are applied here.
+    pub async fn wait_for_departures(&self, revision: u64) -> Arc<Departures> {
+        let is_newer = |d: &Arc<Departures>| d.revision() > revision;
+        self.departures.wait_until(is_newer).await
+    }
+
     /// Returns the time since the tables were last known to be up to date.
     pub fn age(&self) -> Duration {
         let verified = Duration::from_micros(self.verified_at.load(Ordering::Relaxed));
--- a/crates/sequoiawing_controller/src/state_machine.rs
+++ b/crates/sequoiawing_controller/src/state_machine.rs
@@ -1,23 +1,26 @@
 use crate::request::decode;
 use sequoiawing_consensus::Snapshot;
 use sequoiawing_runtime::Watch;
-use sequoiawing_tables::{Command, Outcome, Tables};
+use sequoiawing_tables::{Command, Departures, Outcome, Tables};
 use std::sync::Arc;
 
 /// The replicated state machine: the tables after all applied log entries.
 ///
 /// Routers get a copy only after an edit. Claims and allotments change the tables
-/// in place, because they are as frequent as requests.
+/// in place, because they are as frequent as requests. Departures are published by
+/// themselves, so that they cause no copies and no conflicts of edits.
 pub(crate) struct StateMachine {
     tables: Tables,
     published: Watch<Arc<Tables>>,
+    departures: Watch<Arc<Departures>>,
 }
 
 impl StateMachine {
-    pub(crate) fn new(published: Watch<Arc<Tables>>) -> Self {
+    pub(crate) fn new(published: Watch<Arc<Tables>>, departures: Watch<Arc<Departures>>) -> Self {
         Self {
             tables: Tables::default(),
             published,
+            departures,
         }
     }
 
@@ -51,8 +54,12 @@
         &self.tables
     }
 
-    /// Publishes edits to routers. The published revision never decreases.
+    /// Publishes edits and departures. Published revisions never decrease.
     pub(crate) fn publish(&self) {
+        let departures = &self.tables.departures;
+        if departures.revision() > self.departures.get().revision() {
+            self.departures.set(Arc::new(departures.clone()));
+        }
         let published = self.published.get();
         let Some(update) = self.tables.update_from(published.revision) else {
             return;
--- a/crates/sequoiawing_controller/tests/disks.rs
+++ b/crates/sequoiawing_controller/tests/disks.rs
@@ -5,13 +5,16 @@
 };
 use sequoiawing_controller::{Controller, ControllerHandle, ControllerSettings, ReplicaStorage};
 use sequoiawing_link::{ControlError, ControlStatus};
-use sequoiawing_runtime::{run, sleep};
-use sequoiawing_tables::{Change, Command, Customer, Outcome};
+use sequoiawing_runtime::{run, sleep, spawn};
+use sequoiawing_tables::{Change, Command, Customer, Departure, Outcome};
 use sequoiawing_types::{Name, RequestId};
 use std::{
     fs, io,
     path::PathBuf,
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -30,6 +33,8 @@
 #[derive(Clone)]
 struct Disk {
     state: Arc<(Mutex<DiskState>, Condvar)>,
+    /// The number of writes, each with its sync.
+    writes: Arc<AtomicUsize>,
     folder: PathBuf,
 }
 
@@ -39,7 +44,12 @@
         let folder = std::env::temp_dir().join(name);
         fs::remove_dir_all(&folder).ok();
         let state = Arc::new((Mutex::new(DiskState::Healthy), Condvar::new()));
-        Self { state, folder }
+        let writes = Arc::default();
+        Self {
+            state,
+            writes,
+            folder,
+        }
     }
 
     fn set(&self, state: DiskState) {
@@ -72,6 +82,7 @@
 
 impl LogStorage for FaultyStorage {
     fn write(&mut self, writes: &[Write]) -> Result<(), StorageError> {
+        self.disk.writes.fetch_add(1, Ordering::Relaxed);
         let (state, changed) = &*self.disk.state;
         let state = state.lock().expect("the mutex is not poisoned");
         let hangs = |state: &mut DiskState| *state == DiskState::Hangs;
@@ -245,3 +256,37 @@
         controller.stop().await;
     });
 }
+
+// Guards against a release of many upstreams that costs a slow disk one sync for each.
+#[test]
+fn departures_that_wait_for_a_disk_share_its_writes() {
+    const DEPARTURES: usize = 500;
+    run(async {
+        let disk = Disk::new("departures");
+        let controller = start(&disk).await;
+        let handle = controller.handle();
+        assert!(is_accepted(&handle.propose(&edit("before")).await));
+        let before = disk.writes.load(Ordering::Relaxed);
+        disk.set(DiskState::Hangs);
+        let departures = (0..DEPARTURES).map(|i| {
+            let handle = handle.clone();
+            let command = Command::Depart {
+                upstream: Name::from(format!("i-{i}").as_str()),
+                departure: Departure::of_start(1),
+                now: 0,
+            };
+            spawn(async move { handle.propose(&command).await })
+        });
+        let departures: Vec<_> = departures.collect();
+        sleep(Duration::from_millis(100)).await;
+        disk.set(DiskState::Healthy);
+        for departure in departures {
+            let outcome = departure.await;
+            assert!(matches!(outcome, Ok(Outcome::Departed(_))), "{outcome:?}");
+        }
+        assert_eq!(handle.departures().len(), DEPARTURES);
+        let writes = disk.writes.load(Ordering::Relaxed) - before;
+        assert!(writes < DEPARTURES / 10, "{writes} writes");
+        controller.stop().await;
+    });
+}
--- a/crates/sequoiawing_fleet/src/roster.rs
+++ b/crates/sequoiawing_fleet/src/roster.rs
@@ -112,21 +112,62 @@
     /// Marks an upstream as gone because it has left; returns whether the known
     /// state changed.
     ///
-    /// Without an `epoch`, the known start of the upstream is meant.
+    /// Without an `epoch`, the known start of the upstream is meant. A departure with an
+    /// `epoch` is kept even if the upstream is unknown, since followers may know it.
     pub fn leave(&mut self, now: Time, name: &Name, epoch: Option<u64>) -> bool {
-        let Some(entry) = self.entries.get(name) else {
+        let Some(epoch) = epoch.or_else(|| self.epoch(name)) else {
             return false;
         };
-        let known = &entry.listed.state;
-        if epoch.is_some_and(|e| e < known.epoch) {
-            return false;
+        match self.departed(name, (epoch, u64::MAX), true) {
+            Some(listed) => self.apply_own(now, listed),
+            None => false,
+        }
+    }
+
+    /// Applies the recorded departure of a start of an upstream as of an announcement;
+    /// returns whether the known state changed.
+    ///
+    /// With `is_final`, the start announces nothing more.
+    pub fn depart(&mut self, now: Time, name: &Name, version: (u64, u64), is_final: bool) -> bool {
+        match self.departed(name, version, is_final) {
+            Some(listed) => self.apply(now, listed),
+            None => false,
         }
-        let mut state = UpstreamState::clone(known);
-        state.epoch = epoch.unwrap_or(state.epoch);
-        state.sequence = u64::MAX;
-        state.leaving = true;
+    }
+
+    /// Returns the entry of an upstream after its departure; `None` if a later start of it
+    /// is known.
+    ///
+    /// Of a start that is not known, the entry has the name and the version alone and counts
+    /// as gone: followers may know the rest, and late announcements must not bring it back.
+    fn departed(&self, name: &Name, version: (u64, u64), is_final: bool) -> Option<RosterEntry> {
+        let known = self.entries.get(name).map(|e| &e.listed);
+        if known.is_some_and(|k| k.state.epoch > version.0) {
+            return None;
+        }
+        let is_known_start = |k: &&RosterEntry| k.state.epoch == version.0;
+        let gone = is_final || known.filter(is_known_start).is_none_or(|k| k.gone);
+        let known = known.map(|k| UpstreamState::clone(&k.state));
+        let state = UpstreamState {
+            name: name.clone(),
+            epoch: version.0,
+            sequence: version.1,
+            leaving: true,
+            ..known.unwrap_or_default()
+        };
         let state = Arc::new(state);
-        self.apply_own(now, RosterEntry { state, gone: true })
+        Some(RosterEntry { state, gone })
+    }
+
+    /// Returns the latest known start of an upstream, whether it is gone or not.
+    pub fn epoch(&self, name: &Name) -> Option<u64> {
+        self.entries.get(name).map(|e| e.listed.state.epoch)
+    }
+
+    /// Returns whether the given start of an upstream is known to leave or to be gone.
+    pub fn has_departed(&self, name: &Name, epoch: u64) -> bool {
+        let known = self.entries.get(name).map(|e| &e.listed);
+        known.is_some_and(|k| k.state.epoch == epoch && (k.gone || k.state.leaving))
     }
 
     /// Applies an entry of another roster; returns whether the known state
@@ -138,9 +179,13 @@
         if !known.is_none_or(is_newer) {
             return self.mark_gone(&name, &listed);
         }
+        let listed = with_known_address(known, listed);
         let listed = with_known_software(known, listed);
-        let software = listed.state.software.as_ref();
-        self.software.record(now, &listed.state.pool, software);
+        let is_described = !listed.gone || listed.state.address.is_some();
+        if is_described {
+            let software = listed.state.software.as_ref();
+            self.software.record(now, &listed.state.pool, software);
+        }
         let is_same = known.is_some_and(|entry| is_equivalent(&entry.listed, &listed));
         let listed = self.resolve_address(listed);
         self.stamp += 1;
@@ -308,6 +353,24 @@
     }
 }
 
+/// Returns the entry of an upstream that is gone with what is known of its address and pool,
+/// if it comes from a roster without them. The address is needed to close connections.
+fn with_known_address(known: Option<&TrackedEntry>, mut listed: RosterEntry) -> RosterEntry {
+    if let Some(known) = known
+        && listed.gone
+        && listed.state.address.is_none()
+    {
+        let state = &listed.state;
+        listed.state = Arc::new(UpstreamState {
+            epoch: state.epoch,
+            sequence: state.sequence,
+            leaving: state.leaving,
+            ..UpstreamState::clone(&known.listed.state)
+        });
+    }
+    listed
+}
+
 /// Returns an entry with the software version that is known of the same start, if it has
 /// none because a process of an earlier build has passed it on.
 fn with_known_software(known: Option<&TrackedEntry>, mut listed: RosterEntry) -> RosterEntry {
--- a/crates/sequoiawing_fleet/tests/roster.rs
+++ b/crates/sequoiawing_fleet/tests/roster.rs
@@ -113,6 +113,37 @@
         announce(r, &state("a", 2, 1, 10, false));
         r.leave(Time::ZERO, &Name::from("a"), Some(1));
     } => [("a", 2, false)];
+    a_departure_of_an_unknown_start_is_kept: |r| {
+        r.leave(Time::ZERO, &Name::from("a"), Some(2));
+        announce(r, &state("a", 1, 5, 10, false));
+        announce(r, &state("a", 2, 5, 10, false));
+    } => [];
+    a_later_start_serves_after_the_departure_of_an_unknown_one: |r| {
+        r.leave(Time::ZERO, &Name::from("a"), Some(2));
+        announce(r, &state("a", 3, 1, 10, false));
+    } => [("a", 3, false)];
+    a_departure_without_a_start_of_an_unknown_upstream_ends_no_later_one: |r| {
+        r.leave(Time::ZERO, &Name::from("a"), None);
+        announce(r, &state("a", 1, 1, 10, false));
+    } => [("a", 1, false)];
+    a_recorded_draining_notice_makes_a_known_start_leave: |r| {
+        announce(r, &state("a", 1, 3, 10, false));
+        r.depart(Time::ZERO, &Name::from("a"), (1, 5), false);
+        announce(r, &state("a", 1, 4, 10, false));
+    } => [("a", 1, true)];
+    a_recorded_draining_notice_keeps_late_announcements_away: |r| {
+        r.depart(Time::ZERO, &Name::from("a"), (1, 5), false);
+        announce(r, &state("a", 1, 4, 10, false));
+    } => [];
+    a_draining_upstream_announces_itself_after_its_recorded_notice: |r| {
+        r.depart(Time::ZERO, &Name::from("a"), (1, 5), false);
+        announce(r, &state("a", 1, 6, 10, true));
+    } => [("a", 1, true)];
+    a_recorded_notice_of_an_earlier_start_is_ignored: |r| {
+        announce(r, &state("a", 2, 1, 10, false));
+        r.depart(Time::ZERO, &Name::from("a"), (1, 5), false);
+        r.depart(Time::ZERO, &Name::from("a"), (1, u64::MAX), true);
+    } => [("a", 2, false)];
     an_upstream_that_has_left_may_start_again: |r| {
         announce(r, &state("a", 1, 1, 10, false));
         r.leave(Time::ZERO, &Name::from("a"), Some(1));
@@ -267,3 +298,29 @@
         .listed;
     assert!(left[0].gone, "a departure is an announcement");
 }
+
+/// Guards against a gateway that keeps connections to an upstream whose departure comes from
+/// a host that does not know its address.
+#[test]
+fn a_follower_completes_the_departure_of_an_unknown_upstream() {
+    let mut hub = Roster::new(1);
+    hub.leave(Time::ZERO, &Name::from("a"), Some(1));
+    let mut gateway = Roster::new(2);
+    announce(&mut gateway, &state("a", 1, 3, 10, false));
+    let cursor = gateway
+        .updates_since(Cursor::default(), Interest::Changes)
+        .cursor;
+    for listed in hub
+        .updates_since(Cursor::default(), Interest::Changes)
+        .listed
+    {
+        gateway.apply(Time::ZERO, listed);
+    }
+    let changes = gateway.updates_since(cursor, Interest::Changes).listed;
+    assert_eq!(changes.len(), 1);
+    assert!(changes[0].gone);
+    assert_eq!(
+        changes[0].state.address,
+        state("a", 1, 3, 10, false).address
+    );
+}
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -449,6 +449,8 @@
             }
         }))
         .detach();
+        let departures = state.clone().follow_departures();
+        spawn(shutdown.clone().run_until_shutdown(departures)).detach();
         let expiry_state = state.clone();
         spawn(async move {
             while shutdown.or(sleep(EXPIRY_INTERVAL)).await.is_some() {
@@ -482,34 +484,6 @@
         (leader != self.state.settings.link.ip()).then_some(leader)
     }
 
-    /// Records the announcement of an upstream.
-    pub fn announce(&self, state: &UpstreamState) {
-        let now = self.state.now();
-        let (name, leaving) = (state.name.clone(), state.leaving);
-        let version = state.version();
-        let changed = self.state.roster.lock().announce(now, state.clone());
-        if changed {
-            log::info!(
-                target: "hub", upstream = name.as_str(), leaving = leaving,
-                software = state.software.as_ref().map(Name::as_str), start = version.0, sequence = version.1, loaded = join_names(&state.loaded),
-                disk = state.disk.len(), memory = state.cached.len();
-                "Upstream announced a change."
-            );
-            self.state.notify_changed();
-        }
-    }
-
-    /// Records that an upstream has left; `epoch` identifies its start, if known.
-    pub fn leave(&self, name: &Name, epoch: Option<u64>) {
-        let now = self.state.now();
-        let changed = self.state.roster.lock().leave(now, name, epoch);
-        log::info!(
-            target: "hub", upstream = name.as_str(), known = changed;
-            "Upstream left."
-        );
-        self.state.notify_changed();
-    }
-
     /// Commits a configuration on a majority if it is newer than the active one,
     /// and returns the active version.
     ///
--- a/crates/sequoiawing_hub/src/lib.rs
+++ b/crates/sequoiawing_hub/src/lib.rs
@@ -7,6 +7,7 @@
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
 mod aggregation;
+mod departure;
 mod engine;
 mod evacuation;
 mod handover;
@@ -23,5 +24,6 @@
 mod upstream_limits;
 
 pub use aggregation::{DemandDeduplicator, UsageAggregator};
+pub use departure::DepartureError;
 pub use engine::{EngineClient, EngineOrder, LoaderOptions};
 pub use hub::{Hub, HubSettings};
--- a/crates/sequoiawing_hub/src/service.rs
+++ b/crates/sequoiawing_hub/src/service.rs
@@ -4,7 +4,7 @@
     Context, ControlError, GatewayReport, Hub, HubInfo, LoadRequest, MirrorReply, MirrorRequest,
     ModelDemand, OrderedLoads, OriginReply, OriginRequest, PlaceCall, PlaceReply, SyncReply,
 };
-use sequoiawing_tables::Outcome;
+use sequoiawing_tables::{Departure, Outcome};
 use sequoiawing_types::Name;
 use std::sync::Arc;
 
@@ -52,6 +52,15 @@
         self.state.evacuate_as_leader(&centre, begin).await
     }
 
+    async fn depart(
+        self,
+        _: Context,
+        upstream: Name,
+        departure: Departure,
+    ) -> Result<Outcome, ControlError> {
+        self.state.depart_as_leader(&upstream, departure).await
+    }
+
     async fn dump(self, _: Context) -> String {
         self.state.dump().to_string()
     }
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -4,7 +4,7 @@
 };
 use sequoiawing_catalog::{Catalog, Document};
 use sequoiawing_fleet::{Cursor, RosterUpdate};
-use sequoiawing_tables::{Evacuations, Outcome, Revision};
+use sequoiawing_tables::{Departure, Evacuations, Outcome, Revision};
 use sequoiawing_types::Name;
 use serde::{Deserialize, Serialize};
 use std::{
@@ -326,6 +326,8 @@
     async fn document() -> Result<Document, ControlError>;
     /// Begins or ends the evacuation of a data centre.
     async fn evacuate(centre: Name, begin: bool) -> Result<Outcome, ControlError>;
+    /// Records that an upstream leaves or has left.
+    async fn depart(upstream: Name, departure: Departure) -> Result<Outcome, ControlError>;
     /// Returns the whole state as JSON, without secrets.
     async fn dump() -> String;
     /// Returns the known software versions that began the streams of callers' attempts,
--- a/crates/sequoiawing_tables/src/command.rs
+++ b/crates/sequoiawing_tables/src/command.rs
@@ -1,4 +1,4 @@
-use crate::{Change, Claim, ClaimId, ClaimState, Revision, RouterHost};
+use crate::{Change, Claim, ClaimId, ClaimState, Departure, Revision, RouterHost};
 use sequoiawing_budget::Watermark;
 use sequoiawing_catalog::Document;
 use sequoiawing_types::{Findings, Name, RequestId};
@@ -74,6 +74,16 @@
         /// Whether the evacuation begins.
         begin: bool,
     },
+    /// Records that an upstream leaves or has left, unless a later departure or start of
+    /// it is recorded.
+    Depart {
+        /// The upstream.
+        upstream: Name,
+        /// From when on it wants no new requests.
+        departure: Departure,
+        /// The wall-clock time in seconds. The log's leader replaces it by its own.
+        now: u64,
+    },
     /// Claims a non-idempotent call before it is sent.
     Claim {
         /// The call.
@@ -104,11 +114,15 @@
     /// expire early, and one with a slow clock its own.
     #[must_use]
     pub fn with_leader_clock(mut self, clock: u64) -> Self {
-        if let Self::Claim { claim, now, .. } = &mut self {
-            let shift = |time: u64| clock.saturating_add(time.saturating_sub(*now));
-            claim.until = shift(claim.until);
-            claim.expiry = shift(claim.expiry);
-            *now = clock;
+        match &mut self {
+            Self::Claim { claim, now, .. } => {
+                let shift = |time: u64| clock.saturating_add(time.saturating_sub(*now));
+                claim.until = shift(claim.until);
+                claim.expiry = shift(claim.expiry);
+                *now = clock;
+            }
+            Self::Depart { now, .. } => *now = clock,
+            _ => {}
         }
         self
     }
@@ -143,6 +157,9 @@
     Replaced(u64),
     /// The order is in force as of this revision of the evacuated data centres.
     Evacuated(u64),
+    /// The departure, or a later one of the same upstream, is recorded as of this revision
+    /// of the departures.
+    Departed(u64),
     /// The caller holds the claim and may send the call once.
     Claimed,
     /// Another attempt has already claimed the call.
--- a/crates/sequoiawing_tables/src/tables.rs
+++ b/crates/sequoiawing_tables/src/tables.rs
@@ -1,6 +1,7 @@
 use crate::{
-    Allotments, CellEpoch, Change, Claim, ClaimId, ClaimState, Command, Customer, Evacuations, Key,
-    KeyId, Outcome, Pool, Route, RouterHost, Shared, Store, check::check_tables, claims::Claims,
+    Allotments, CellEpoch, Change, Claim, ClaimId, ClaimState, Command, Customer, Departures,
+    Evacuations, Key, KeyId, Outcome, Pool, Route, RouterHost, Shared, Store, check::check_tables,
+    claims::Claims,
 };
 use sequoiawing_budget::Watermark;
 use sequoiawing_catalog::{Catalog, Document};
@@ -13,7 +14,7 @@
 };
 
 /// A version of the tables, incremented by each accepted edit, membership change
-/// and configuration, but not by claims, allotments and watermarks.
+/// and configuration, but not by departures, claims, allotments and watermarks.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
 )]
@@ -63,6 +64,8 @@
     pub catalog: Arc<Catalog>,
     /// The data centres whose upstreams must receive no requests.
     pub evacuations: Evacuations,
+    /// The upstreams that leave or have left.
+    pub departures: Departures,
     /// The source text of the configuration, as sent by the operator.
     text: Arc<str>,
     #[serde(with = "pairs")]
@@ -120,13 +123,18 @@
             }
             Command::Replace(document) => self.replace(document),
             Command::Evacuate { centre, begin } => self.evacuate(centre, begin),
+            Command::Depart {
+                upstream,
+                departure,
+                now,
+            } => self.depart(upstream, departure, now),
             Command::Claim { id, claim, now } => self.claim(id, claim, now),
             Command::Settle { id, attempt, state } => self.settle(&id, &attempt, state),
         }
     }
 
-    /// Returns a copy with only the parts that routers need, without claims,
-    /// allotments and recent edits.
+    /// Returns a copy with only the parts that routers need, without departures,
+    /// claims, allotments and recent edits.
     #[must_use]
     pub fn published(&self) -> Self {
         Self {
@@ -378,8 +386,21 @@
         configured.map_or(0, |m| m.replicas)
     }
 
-    fn claim(&mut self, id: ClaimId, claim: Claim, now: u64) -> Outcome {
+    /// Advances the log's clock to `now`, in seconds; returns whether that is later than it
+    /// was.
+    pub(crate) fn advance_clock(&mut self, now: u64) -> bool {
+        let is_later = now > self.clock;
         self.clock = self.clock.max(now);
+        is_later
+    }
+
+    /// Returns the log's clock, in seconds.
+    pub(crate) fn clock(&self) -> u64 {
+        self.clock
+    }
+
+    fn claim(&mut self, id: ClaimId, claim: Claim, now: u64) -> Outcome {
+        self.advance_clock(now);
         let clock = self.clock;
         let is_active = |c: &&Claim| c.expiry > clock && c.state != ClaimState::Ended(Ran::No);
         if let Some(held) = self.claims.get(&id).filter(is_active) {
