--- a/crates/sequoiawing_hub/src/departure.rs
+++ b/crates/sequoiawing_hub/src/departure.rs
@@ -38,9 +38,13 @@
         self.handle.propose(&command).await
     }
 
-    /// Applies an announcement to the roster.
-    fn apply_announcement(&self, state: &UpstreamState) {
-        let changed = self.roster.lock().announce(self.now(), state.clone());
+    /// Applies an announcement to the roster; returns whether its start was known to leave
+    /// before.
+    fn apply_announcement(&self, state: &UpstreamState) -> bool {
+        let mut roster = self.roster.lock();
+        let had_departed = roster.has_departed(&state.name, state.epoch);
+        let changed = roster.announce(self.now(), state.clone());
+        drop(roster);
         if changed {
             log::info!(
                 target: "hub", upstream = state.name.as_str(), leaving = state.leaving,
@@ -51,6 +55,7 @@
             );
             self.notify_changed();
         }
+        had_departed
     }
 
     /// Applies a call by which an upstream leaves to the roster; returns its start that was
@@ -106,9 +111,30 @@
 }
 
 impl Hub {
-    /// Records the announcement of an upstream.
-    pub fn announce(&self, state: &UpstreamState) {
-        self.state.apply_announcement(state);
+    /// Records the announcement of an upstream. It returns once the first one by which a
+    /// start says that it leaves is in the log; others are not kept there, as upstreams
+    /// repeat them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no leader confirmed the departure in time. The announcement
+    /// counts at this host all the same.
+    pub async fn announce(&self, state: &UpstreamState) -> Result<(), ControlError> {
+        let had_departed = self.state.apply_announcement(state);
+        if !state.leaving {
+            return Ok(());
+        }
+        let recorded = self.state.handle.departures().get(&state.name);
+        let is_recorded = recorded.is_some_and(|known| known.start == state.epoch);
+        if had_departed && is_recorded {
+            return Ok(());
+        }
+        let departure = Departure {
+            start: state.epoch,
+            sequence: state.sequence,
+            is_final: false,
+        };
+        self.record_departure(&state.name, departure).await
     }
 
     /// Records that an upstream has left, and returns once that is in the log; `epoch`
