--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -26,6 +26,9 @@
 /// usual keep-alive time of HTTP servers.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// The last status of the protocol.
+const MAX_STATUS: u16 = 599;
+
 /// Why a request got no response.
 #[derive(Debug, Error)]
 pub enum ClientError {
@@ -125,7 +128,7 @@
             prepare(&mut request).map_err(ClientError::Stopped)?;
             match sender.try_send_request(request).await {
                 Ok(response) => {
-                    return Ok(self.attach_connection(address, sender, refusals, response));
+                    return self.attach_connection(address, sender, refusals, response);
                 }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -175,9 +178,7 @@
         let mut sender = self.connect(address).await?;
         prepare(&mut request).map_err(ClientError::Stopped)?;
         match sender.try_send_request(request).await {
-            Ok(response) => {
-                Ok(self.attach_connection(address, sender, Refusals::default(), response))
-            }
+            Ok(response) => self.attach_connection(address, sender, Refusals::default(), response),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let cause = error.into_error().to_string();
@@ -211,20 +212,27 @@
         opened.map_err(|e| ClientError::NotSent(e.to_string()))
     }
 
+    /// Returns a response with its connection, which is closed if its status is none: the
+    /// library accepts all numbers of three digits from 100 on.
     fn attach_connection(
         &self,
         address: SocketAddr,
         sender: SendRequest<Body>,
         refusals: Refusals,
         response: Response<Incoming>,
-    ) -> Response<ClientBody> {
+    ) -> Result<Response<ClientBody>, ClientError> {
+        let status = response.status();
+        if status.as_u16() > MAX_STATUS {
+            let cause = format!("the status {} is none", status.as_u16());
+            return Err(ClientError::NoResponse(cause));
+        }
         let mut response = response;
         // The version belongs to this connection. A relayed answer in an older one
         // would have no chunks, and a break would look like its end.
         *response.version_mut() = Version::HTTP_11;
         let idle_pool = self.idle_pool.clone();
         let keep_alive = keep_alive_timeout(response.headers());
-        response.map(|body| {
+        Ok(response.map(|body| {
             let connection = Some(ReusableConnection {
                 idle_pool,
                 address,
@@ -233,7 +241,7 @@
                 keep_alive,
             });
             ClientBody { body, connection }
-        })
+        }))
     }
 }
 
--- a/tests/requests/main.rs
+++ b/tests/requests/main.rs
@@ -7,6 +7,7 @@
 mod joins;
 mod keys;
 mod load;
+mod odd_answers;
 mod refusals;
 mod scripted;
 mod stopping;
--- a/tests/requests/scripted.rs
+++ b/tests/requests/scripted.rs
@@ -3,6 +3,7 @@
 use crate::fleet::{Fleet, SECRET, wait_until};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use hyper::Request;
+use rustix::net::sockopt::set_socket_linger;
 use sequoiawing::{
     http::{Client, from_bytes},
     runtime::{sleep, spawn},
@@ -13,7 +14,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -24,7 +25,11 @@
 /// What an upstream does with a request that it has read.
 pub(crate) enum Step {
     Write(String),
+    /// Writes the bytes again and again, until so many bytes are written.
+    Repeat(String, usize),
     Pause(Duration),
+    /// Resets the connection.
+    Reset,
     /// Closes the connection in order, as the kernel does for a killed process.
     Close,
 }
@@ -66,17 +71,41 @@
 /// Upstreams that share one script.
 pub(crate) struct Scripted {
     received: Arc<Mutex<Vec<Received>>>,
+    /// The bytes that [`Step::Repeat`] wrote to all connections.
+    repeated: Arc<AtomicUsize>,
     is_stopped: Arc<AtomicBool>,
 }
 
 impl Scripted {
     /// Starts upstreams and waits until the first router knows them.
     pub(crate) async fn start<F>(fleet: &Fleet, kind: Kind, count: usize, script: F) -> Self
+    where
+        F: Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+    {
+        Self::start_reading(fleet, kind, count, Reading::Whole, script).await
+    }
+
+    /// The same with upstreams that answer when they have read the head of a request.
+    pub(crate) async fn start_early<F>(fleet: &Fleet, kind: Kind, count: usize, script: F) -> Self
+    where
+        F: Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+    {
+        Self::start_reading(fleet, kind, count, Reading::Head, script).await
+    }
+
+    async fn start_reading<F>(
+        fleet: &Fleet,
+        kind: Kind,
+        count: usize,
+        reading: Reading,
+        script: F,
+    ) -> Self
     where
         F: Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
     {
         let scripted = Self {
             received: Arc::default(),
+            repeated: Arc::default(),
             is_stopped: Arc::default(),
         };
         let script: Script = Arc::new(script);
@@ -85,15 +114,20 @@
             let listener = async_net::TcpListener::bind("127.0.0.1:0").await;
             let listener = listener.expect("a free port");
             let address = listener.local_addr().expect("a bound port");
-            let (received, script) = (scripted.received.clone(), script.clone());
+            let server = Server {
+                received: scripted.received.clone(),
+                repeated: scripted.repeated.clone(),
+                script: script.clone(),
+                reading,
+            };
             let connections = connections.clone();
             spawn(async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     let connection = connections.fetch_add(1, Ordering::Relaxed);
                     let connection = usize::try_from(connection).expect("a few connections");
-                    let (received, script) = (received.clone(), script.clone());
+                    let server = server.clone();
                     spawn(async move {
-                        serve(stream, connection, &received, &script).await.ok();
+                        server.serve(stream, connection).await.ok();
                     })
                     .detach();
                 }
@@ -108,6 +142,11 @@
         scripted
     }
 
+    /// Returns how many bytes [`Step::Repeat`] wrote to all connections.
+    pub(crate) fn repeated(&self) -> usize {
+        self.repeated.load(Ordering::Relaxed)
+    }
+
     /// Returns the requests that arrived, without orders.
     pub(crate) fn received(&self) -> Vec<Received> {
         self.received.lock().expect("no panic").clone()
@@ -154,49 +193,82 @@
     }
 }
 
-async fn serve(
-    mut stream: async_net::TcpStream,
-    connection: usize,
-    received: &Mutex<Vec<Received>>,
-    script: &Script,
-) -> io::Result<()> {
-    let mut unread = Vec::new();
-    while let Some((head, body)) = read_request(&mut stream, &mut unread).await? {
-        if head.contains("/sequoiawing/orders") {
-            let refusal = "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n";
-            stream.write_all(refusal.as_bytes()).await?;
-            continue;
-        }
-        let request = {
-            let mut received = received.lock().expect("no panic");
-            let request = Received {
-                number: received.len(),
-                connection,
-                head,
-                body,
+/// What upstreams read of a request before they answer it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reading {
+    Whole,
+    /// The head. The connection ends with the answer.
+    Head,
+}
+
+/// What serves the connections of an upstream.
+#[derive(Clone)]
+struct Server {
+    received: Arc<Mutex<Vec<Received>>>,
+    repeated: Arc<AtomicUsize>,
+    script: Script,
+    reading: Reading,
+}
+
+impl Server {
+    async fn serve(&self, mut stream: async_net::TcpStream, connection: usize) -> io::Result<()> {
+        let mut unread = Vec::new();
+        while let Some((head, body)) = read_request(&mut stream, &mut unread, self.reading).await? {
+            if head.contains("/sequoiawing/orders") {
+                let refusal = "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n";
+                stream.write_all(refusal.as_bytes()).await?;
+                continue;
+            }
+            let request = {
+                let mut received = self.received.lock().expect("no panic");
+                let request = Received {
+                    number: received.len(),
+                    connection,
+                    head,
+                    body,
+                };
+                received.push(request.clone());
+                request
             };
-            received.push(request.clone());
-            request
-        };
-        for step in script(&request) {
-            match step {
-                Step::Write(bytes) => stream.write_all(bytes.as_bytes()).await?,
-                Step::Pause(duration) => sleep(duration).await,
-                Step::Close => return Ok(()),
+            for step in (self.script)(&request) {
+                match step {
+                    Step::Write(bytes) => stream.write_all(bytes.as_bytes()).await?,
+                    Step::Repeat(bytes, limit) => {
+                        let mut written = 0;
+                        while written < limit {
+                            stream.write_all(bytes.as_bytes()).await?;
+                            written += bytes.len();
+                            self.repeated.fetch_add(bytes.len(), Ordering::Relaxed);
+                        }
+                    }
+                    Step::Pause(duration) => sleep(duration).await,
+                    Step::Close => return Ok(()),
+                    Step::Reset => {
+                        set_socket_linger(&stream, Some(Duration::ZERO))?;
+                        return Ok(());
+                    }
+                }
+            }
+            if self.reading == Reading::Head {
+                return Ok(());
             }
         }
+        Ok(())
     }
-    Ok(())
 }
 
-/// Reads the head and the body of a request; `None` at the end of the connection.
+/// Reads the head of a request, and its body if that is read; `None` at the end of the connection.
 async fn read_request(
     stream: &mut async_net::TcpStream,
     unread: &mut Vec<u8>,
+    reading: Reading,
 ) -> io::Result<Option<(String, String)>> {
     loop {
         let text = String::from_utf8_lossy(unread).into_owned();
         if let Some((head, rest)) = text.split_once("\r\n\r\n") {
+            if reading == Reading::Head && !head.contains("/sequoiawing/orders") {
+                return Ok(Some((head.to_owned(), String::new())));
+            }
             let lengths = head.lines().filter_map(|line| line.split_once(':'));
             let mut lengths = lengths.filter(|(n, _)| n.eq_ignore_ascii_case("content-length"));
             let length = lengths.next().and_then(|(_, v)| v.trim().parse().ok());
