--- a/crates/sequoiawing_http/src/sse.rs
+++ b/crates/sequoiawing_http/src/sse.rs
@@ -16,6 +16,9 @@
 /// The maximum length of an event, in bytes. Events hold some tokens of text.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// The most bytes that mark the end of an event: a line's end and an empty line.
+const MAX_END_BYTES: usize = 3;
+
 /// An event of a stream did not end in time.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 #[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
@@ -43,9 +46,7 @@
         let complete = if self.partial.is_empty() {
             self.split(part)
         } else {
-            self.partial.extend_from_slice(&part);
-            let joined = std::mem::take(&mut self.partial).freeze();
-            self.split(joined)
+            self.extend_partial(&part)
         };
         if self.partial.len() > MAX_EVENT_BYTES {
             self.partial = BytesMut::new();
@@ -71,11 +72,28 @@
         !self.partial.is_empty()
     }
 
+    /// Returns the number of bytes of an incomplete event that are held back.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether the last event of the stream has been returned.
     pub fn is_done(&self) -> bool {
         self.is_done
     }
 
+    /// Appends to the incomplete event, and returns the events that are now complete.
+    ///
+    /// Only what is new is searched: events may come in parts of one byte.
+    fn extend_partial(&mut self, part: &[u8]) -> Bytes {
+        let searched = self.partial.len().saturating_sub(MAX_END_BYTES - 1);
+        self.partial.extend_from_slice(part);
+        match last_event_end(&self.partial[searched..]) {
+            0 => Bytes::new(),
+            end => self.partial.split_to(searched + end).freeze(),
+        }
+    }
+
     fn split(&mut self, mut part: Bytes) -> Bytes {
         let end = last_event_end(&part);
         let rest = part.split_off(end);
--- a/crates/sequoiawing_http/src/sse/tests.rs
+++ b/crates/sequoiawing_http/src/sse/tests.rs
@@ -1,4 +1,4 @@
-use super::{EventId, SseSplitter, complete_events};
+use super::{EventId, MAX_EVENT_BYTES, SseSplitter, complete_events};
 use bytes::Bytes;
 
 const STREAM: &[u8] = b"data: a\n\ndata: b\r\n\r\ndata: [DONE]\n\n";
@@ -74,3 +74,27 @@
     assert_eq!(pushed.filter(Result::is_err).count(), 1);
     assert!(splitter.partial.len() <= 1024 * 1024);
 }
+
+// Guards against work that grows with the square of an event's length: an event in parts of
+// one byte kept a processor busy for minutes.
+#[test]
+fn an_event_in_parts_of_one_byte_is_bounded() {
+    let mut splitter = SseSplitter::default();
+    let mut length = 0;
+    while splitter.push(Bytes::from_static(b"a")).is_ok() {
+        length += 1;
+    }
+    assert_eq!(length, MAX_EVENT_BYTES);
+    assert!(!splitter.has_partial());
+}
+
+#[test]
+fn an_event_in_parts_of_one_byte_is_whole() {
+    let mut splitter = SseSplitter::default();
+    let mut output = Vec::new();
+    for byte in STREAM {
+        let complete = splitter.push(Bytes::copy_from_slice(&[*byte]));
+        output.extend_from_slice(&complete.expect("the events are short"));
+    }
+    assert_eq!((output.as_slice(), splitter.count()), (STREAM, 3));
+}
