--- a/crates/sequoiawing_gateway/src/response_body.rs
+++ b/crates/sequoiawing_gateway/src/response_body.rs
@@ -1,9 +1,9 @@
 //! Reads the bodies of upstreams' responses, which may not end.
 
 use crate::GatewaySettings;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError};
 use hyper::body::Bytes;
-use sequoiawing_http::{BodyBudget, BodyError, ClientBody};
+use sequoiawing_http::{BodyBudget, BodyError, BodyParts, ClientBody, read_to_end};
 use sequoiawing_runtime::{spawn, timeout};
 use std::time::Duration;
 use thiserror::Error;
@@ -58,13 +58,12 @@
     /// Returns an error if the body is too large or breaks off.
     pub(crate) async fn read(&self, mut body: ClientBody) -> Result<Bytes, ReadError> {
         let room = self.budget.begin_kept();
-        let mut parts: Vec<Bytes> = Vec::new();
-        let mut size = 0;
+        let mut parts = BodyParts::default();
         while let Some(frame) = body.frame().await {
             let Ok(part) = frame.map_err(ReadError::Broken)?.into_data() else {
                 continue;
             };
-            size += part.len();
+            let size = parts.len() + part.len();
             if size > MAX_BODY_BYTES {
                 return Err(ReadError::TooLarge(MAX_BODY_BYTES));
             }
@@ -73,18 +72,14 @@
             }
             parts.push(part);
         }
-        let bytes = match parts.len() {
-            1 => parts.swap_remove(0),
-            _ => Bytes::from(parts.concat()),
-        };
-        Ok(room.hold(bytes))
+        Ok(room.hold(parts.into_bytes()))
     }
 }
 
 /// Reads the rest of a body in the background, so that its connection can be reused.
 /// The connection is closed if that takes too long.
 pub(crate) fn drain(body: ClientBody) {
-    let rest = Limited::new(body, MAX_DRAINED_BYTES).collect();
+    let rest = read_to_end(body, MAX_DRAINED_BYTES);
     spawn(async {
         match timeout(DRAIN_TIMEOUT, rest).await {
             Some(Ok(_)) => {}
--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -1,8 +1,7 @@
 use crate::{GatewayState, slots::Slot, stream_position::StreamPosition};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use sequoiawing_http::{BodyError, BodyFraming, ClientBody};
-use std::collections::VecDeque;
+use sequoiawing_http::{BodyError, BodyFraming, BodyParts, ClientBody};
 
 /// An event stream of an upstream, and the slot that it holds there.
 pub(crate) struct Source {
@@ -36,7 +35,7 @@
     body: ClientBody,
     framing: BodyFraming,
     /// The parts that were read ahead.
-    ahead: VecDeque<Bytes>,
+    ahead: BodyParts,
 }
 
 impl EventStream {
@@ -44,7 +43,7 @@
         Self {
             body,
             framing,
-            ahead: VecDeque::new(),
+            ahead: BodyParts::default(),
         }
     }
 
@@ -91,7 +90,7 @@
         position.begin_part();
         while let Some(part) = self.receive().await {
             let part = part.map_err(|error| error.to_string())?;
-            self.ahead.push_back(part.clone());
+            self.ahead.push(part.clone());
             position.push(part).map_err(|error| error.to_string())?;
             if position.count() > 0 {
                 return Ok(());
--- a/crates/sequoiawing_router/src/attempt.rs
+++ b/crates/sequoiawing_router/src/attempt.rs
@@ -17,11 +17,11 @@
     header::{self, HeaderValue},
     http::response::Parts,
 };
-use sequoiawing_http::{Body, ClientBody, ClientError, from_bytes, remove_hop_headers};
+use sequoiawing_http::{Body, BodyParts, ClientBody, ClientError, from_bytes, remove_hop_headers};
 use sequoiawing_policy::DispatchRequest;
 use sequoiawing_runtime::timeout;
 use sequoiawing_types::{Name, Ran, Time};
-use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// The maximum size of a response that is not streamed and is buffered until it
 /// is complete, in bytes.
@@ -82,7 +82,7 @@
 pub(crate) struct UpstreamResponse {
     pub(crate) parts: Parts,
     /// The part of the body that was already read.
-    pub(crate) buffered: VecDeque<Bytes>,
+    pub(crate) buffered: BodyParts,
     /// The rest of the body; none if all of it is buffered.
     pub(crate) body: Option<ClientBody>,
     /// The identifier of the attempt.
@@ -307,25 +307,23 @@
         deadline: Time,
     ) -> Result<UpstreamResponse, AttemptError> {
         let (parts, mut body) = response.into_parts();
-        let mut buffered = VecDeque::new();
-        let mut size = 0;
+        let mut buffered = BodyParts::default();
         let target_bytes = match (template.repeatable, template.stream) {
             (true, false) => MAX_BUFFERED_BYTES,
             (true, true) => 1,
             (false, _) => 0,
         };
-        while size < target_bytes && !body.is_end_stream() {
+        while buffered.len() < target_bytes && !body.is_end_stream() {
             let remaining = deadline.since(self.state.now());
             match timeout(remaining, body.frame()).await {
                 Some(Some(Ok(frame))) => {
                     if let Ok(chunk) = frame.into_data() {
-                        size += chunk.len();
-                        buffered.push_back(chunk);
+                        buffered.push(chunk);
                     }
                 }
                 Some(Some(Err(error))) => return Err(AttemptError::unknown(error.to_string())),
                 Some(None) => break,
-                None if size > 0 => break,
+                None if !buffered.is_empty() => break,
                 None => return Err(AttemptError::unknown("no answer before the deadline")),
             }
         }
--- a/crates/sequoiawing_router/src/controllers/placement.rs
+++ b/crates/sequoiawing_router/src/controllers/placement.rs
@@ -2,11 +2,10 @@
     Controller, RouterState, controllers::store_credits::StoreCredits, headers::ATTEMPT_HEADER,
 };
 use async_channel::{Receiver, Sender};
-use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, header};
 use sequoiawing_cell::{CellEvent, ShareCount, Version};
 use sequoiawing_fleet::{Demand, DemandStatus, Order, OrderReply, UpstreamState};
-use sequoiawing_http::from_bytes;
+use sequoiawing_http::{from_bytes, read_to_end};
 use sequoiawing_policy::{
     DispatchEvent, Leadership, PlaceAction, PlaceEvent, PlaceSettings, Placer,
 };
@@ -316,9 +315,8 @@
         .ok()?;
     let exchange = async {
         let response = state.client.send(to, request).await.ok()?;
-        let body = Limited::new(response.into_body(), MAX_REPLY_BYTES);
-        let body = body.collect().await.ok()?;
-        serde_json::from_slice(&body.to_bytes()).ok()
+        let body = read_to_end(response.into_body(), MAX_REPLY_BYTES);
+        serde_json::from_slice(&body.await.ok()?).ok()
     };
     timeout(CALL_TIMEOUT, exchange).await.flatten()
 }
--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -18,13 +18,12 @@
     http::response::Parts,
 };
 use sequoiawing_http::{
-    Body, BodyError, ClientBody, EventId, EventTooLong, SseEvent, SseSplitter, complete_events,
-    remove_hop_headers,
+    Body, BodyError, BodyParts, ClientBody, EventId, EventTooLong, SseEvent, SseSplitter,
+    complete_events, remove_hop_headers,
 };
 use sequoiawing_runtime::sleep;
 use sequoiawing_types::{Name, Ran, Time};
 use std::{
-    collections::VecDeque,
     future::Future,
     pin::Pin,
     sync::Arc,
@@ -62,7 +61,7 @@
 
 /// The buffered part of a body, followed by the rest of it.
 struct BufferedBody {
-    buffered: VecDeque<Bytes>,
+    buffered: BodyParts,
     body: Option<ClientBody>,
 }
 
@@ -85,7 +84,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let buffered: usize = self.buffered.iter().map(Bytes::len).sum();
+        let buffered = self.buffered.len();
         let rest = self.body.as_ref().map(HttpBody::size_hint);
         let rest = rest.unwrap_or_else(|| SizeHint::with_exact(0));
         let mut hint = SizeHint::new();
