--- a/crates/sequoiawing_gateway/src/attempt.rs
+++ b/crates/sequoiawing_gateway/src/attempt.rs
@@ -63,7 +63,11 @@
     let (outcome, result) = match timeout(remaining, Box::pin(receiving)).await {
         None => (AttemptOutcome::Failed, Err(AttemptError::TimedOut)),
         Some(Ok(Received::Stream(parts, body))) => {
-            let stream = EventStream::new(body, answer_framing(exchange, &parts));
+            let stream = EventStream::new(
+                body,
+                answer_framing(exchange, &parts),
+                state.bodies.budget.clone(),
+            );
             let source = Box::new(Source { stream, slot });
             return Ok(UpstreamResponse::Stream(parts, source));
         }
--- a/crates/sequoiawing_gateway/src/response_body.rs
+++ b/crates/sequoiawing_gateway/src/response_body.rs
@@ -3,7 +3,7 @@
 use crate::GatewaySettings;
 use http_body_util::{BodyExt, LengthLimitError};
 use hyper::body::Bytes;
-use sequoiawing_http::{BodyBudget, BodyError, BodyParts, ClientBody, read_to_end};
+use sequoiawing_http::{BodyBudget, BodyError, BodyParts, ClientBody, KeptRoom, read_to_end};
 use sequoiawing_runtime::{spawn, timeout};
 use std::time::Duration;
 use thiserror::Error;
@@ -14,6 +14,9 @@
 /// The size up to which a body is buffered in any case, in bytes.
 const SMALL_BODY_BYTES: usize = 256 * 1024;
 
+/// The size up to which an event of a stream is held back in any case, in bytes.
+const SMALL_EVENT_BYTES: usize = 64 * 1024;
+
 /// The maximum size of the rest of a body that is read only so that its connection
 /// can be reused, in bytes.
 const MAX_DRAINED_BYTES: usize = 64 * 1024;
@@ -76,6 +79,44 @@
     }
 }
 
+/// The room of what a stream holds back of its next event.
+#[derive(Debug)]
+pub(crate) struct EventRoom {
+    budget: BodyBudget,
+    /// The room of a large event, with its bytes.
+    taken: Option<(KeptRoom, usize)>,
+}
+
+impl EventRoom {
+    pub(crate) fn new(budget: BodyBudget) -> Self {
+        Self {
+            budget,
+            taken: None,
+        }
+    }
+
+    /// Takes room for an incomplete event of so many bytes, in place of that taken before.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is none beside other large bodies.
+    pub(crate) fn fit(&mut self, bytes: usize) -> Result<(), String> {
+        if bytes <= SMALL_EVENT_BYTES {
+            self.taken = None;
+            return Ok(());
+        }
+        let (room, held) = self
+            .taken
+            .get_or_insert_with(|| (self.budget.begin_kept(), 0));
+        let missing = bytes.saturating_sub(*held);
+        if missing > 0 && !room.grow(missing, false) {
+            return Err(ReadError::NoRoom(bytes).to_string());
+        }
+        *held += missing;
+        Ok(())
+    }
+}
+
 /// Reads the rest of a body in the background, so that its connection can be reused.
 /// The connection is closed if that takes too long.
 pub(crate) fn drain(body: ClientBody) {
@@ -99,3 +140,6 @@
     })
     .detach();
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -1,7 +1,7 @@
-use crate::{GatewayState, slots::Slot, stream_position::StreamPosition};
+use crate::{GatewayState, response_body::EventRoom, slots::Slot, stream_position::StreamPosition};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use sequoiawing_http::{BodyError, BodyFraming, BodyParts, ClientBody};
+use sequoiawing_http::{BodyBudget, BodyError, BodyFraming, BodyParts, ClientBody};
 
 /// An event stream of an upstream, and the slot that it holds there.
 pub(crate) struct Source {
@@ -36,14 +36,17 @@
     framing: BodyFraming,
     /// The parts that were read ahead.
     ahead: BodyParts,
+    room: EventRoom,
 }
 
 impl EventStream {
-    pub(crate) fn new(body: ClientBody, framing: BodyFraming) -> Self {
+    /// Creates a stream whose incomplete events take room of `budget`.
+    pub(crate) fn new(body: ClientBody, framing: BodyFraming, budget: BodyBudget) -> Self {
         Self {
             body,
             framing,
             ahead: BodyParts::default(),
+            room: EventRoom::new(budget),
         }
     }
 
@@ -72,6 +75,7 @@
                 },
             };
             let complete = position.push(part).map_err(|error| error.to_string())?;
+            self.room.fit(self.ahead.len() + position.partial_len())?;
             if !complete.is_empty() {
                 return Ok(Some(complete));
             }
@@ -92,6 +96,7 @@
             let part = part.map_err(|error| error.to_string())?;
             self.ahead.push(part.clone());
             position.push(part).map_err(|error| error.to_string())?;
+            self.room.fit(self.ahead.len() + position.partial_len())?;
             if position.count() > 0 {
                 return Ok(());
             }
--- a/crates/sequoiawing_gateway/src/stream_position.rs
+++ b/crates/sequoiawing_gateway/src/stream_position.rs
@@ -182,6 +182,11 @@
         Ok(())
     }
 
+    /// Returns the number of bytes of an incomplete event that are held back.
+    pub(crate) fn partial_len(&self) -> usize {
+        self.splitter.partial_len()
+    }
+
     /// Checks that the stream may end here: the answer of the current upstream has ended.
     ///
     /// # Errors
--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -8,7 +8,7 @@
 use hyper::{
     Request, Response, Version,
     body::{Body as HttpBody, Frame, Incoming, SizeHint},
-    client::conn::http1::{SendRequest, handshake},
+    client::conn::http1::{Builder, SendRequest},
     rt::{Read, Write},
 };
 use sequoiawing_runtime::spawn;
@@ -26,6 +26,10 @@
 /// usual keep-alive time of HTTP servers.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// The most bytes that a connection takes in before they are read, and so the longest head of
+/// a response.
+const BUFFER_BYTES: usize = 64 * 1024;
+
 /// The last status of the protocol.
 const MAX_STATUS: u16 = 599;
 
@@ -250,7 +254,8 @@
 where
     S: Read + Write + Send + Unpin + 'static,
 {
-    let (sender, connection) = handshake(socket).await?;
+    let mut builder = Builder::new();
+    let (sender, connection) = builder.max_buf_size(BUFFER_BYTES).handshake(socket).await?;
     spawn(async { connection.await.ok() }).detach();
     Ok(sender)
 }
