--- a/tools/soak/src/judge.rs
+++ b/tools/soak/src/judge.rs
@@ -2,6 +2,7 @@
 
 mod backoffs;
 mod budget;
+mod departures;
 mod falls;
 mod stops;
 mod streams;
@@ -32,6 +33,8 @@
     Limit,
     /// A gateway that is told to end answers what it has passed on.
     Lost,
+    /// A runner whose departure was acknowledged gets no requests.
+    Drain,
 }
 
 impl fmt::Display for Promise {
@@ -122,6 +125,8 @@
     /// When gateways were told to end; these are among the faults.
     stops: Vec<(u64, &'a str)>,
     falls: Vec<Fall<'a>>,
+    /// When the departures of runners were acknowledged.
+    departures: Vec<(u64, &'a str)>,
 }
 
 /// A runner that fell over.
@@ -221,6 +226,7 @@
                     rejected,
                 });
             }
+            Record::Departed { at, runner } => self.departures.push((*at, runner)),
             Record::Fault { at, process, what } => {
                 let process = process.as_deref();
                 self.faults.extend(process.map(|p| (*at, p)));
@@ -253,6 +259,7 @@
     falls::judge(&case, &mut verdict);
     backoffs::judge(&case, &mut verdict);
     stops::judge(&case, &mut verdict);
+    departures::judge(&case, &mut verdict);
     for sent in &case.sent {
         judge_runs(&case, sent, &mut verdict);
         judge_answer(&case, sent, &mut verdict);
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -39,6 +39,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Whether runners at times want no requests for some seconds"),
         )
+        .arg(
+            Arg::new("departures")
+                .long("departures")
+                .action(ArgAction::SetTrue)
+                .help("Whether runners leave by a call at times, and controllers are killed then"),
+        )
         .arg(
             Arg::new("platform")
                 .long("platform")
@@ -99,6 +105,7 @@
                     length: number("seconds") * 1000,
                     is_brittle: args.get_flag("brittle"),
                     has_backoffs: args.get_flag("backoffs"),
+                    has_departures: args.get_flag("departures"),
                 },
                 callers: count("callers"),
                 platform: args
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -24,6 +24,9 @@
     pub is_brittle: bool,
     /// Whether runners at times name the seconds for which they want no requests.
     pub has_backoffs: bool,
+    /// Whether runners leave by a call at times, beside kills of the controllers that
+    /// acknowledge it.
+    pub has_departures: bool,
 }
 
 /// A fault, with the indices of the processes that it concerns.
@@ -46,6 +49,9 @@
     StopRunner(usize, u64),
     /// Runners misbehave for so many milliseconds.
     Misbehave(Vec<usize>, Box<Mode>, u64),
+    /// A runner says at a controller that it leaves, and serves on; these controllers are
+    /// killed right after the acknowledgement, and start again.
+    Depart(usize, usize, Vec<usize>),
     /// All runners of a service are brittle for so many milliseconds.
     Brittle(&'static str, Brittle, u64),
     /// The links of a gateway to runners are disturbed for so many milliseconds.
@@ -90,6 +96,9 @@
     if size.has_backoffs {
         add_backoffs(seed, size, end, &mut steps);
     }
+    if size.has_departures {
+        add_departures(seed, size, end, &mut steps);
+    }
     steps.retain(|s| s.at < end);
     steps.sort_by_key(|s| s.at);
     steps
@@ -146,6 +155,25 @@
     }
 }
 
+/// Adds departures of runners. They are drawn apart, as above.
+fn add_departures(seed: u64, size: &Size, end: u64, steps: &mut Vec<Step>) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(3);
+    let mut at = CALM;
+    while at < end {
+        let runner = random.random_range(0..size.runners);
+        let controller = random.random_range(0..size.controllers);
+        let killed = match random.random_range(0..3) {
+            0 => Vec::new(),
+            1 => vec![controller],
+            _ => (0..size.controllers).collect(),
+        };
+        let fault = Fault::Depart(runner, controller, killed);
+        steps.push(Step { at, fault });
+        at += random.random_range(4_000..9_000);
+    }
+}
+
 /// Adds faults that belong together.
 fn scene(random: &mut ChaCha8Rng, size: &Size, at: u64, steps: &mut Vec<Step>) {
     let gateway = random.random_range(0..size.gateways);
--- a/tools/soak/src/record.rs
+++ b/tools/soak/src/record.rs
@@ -143,6 +143,13 @@
         /// The tries that it rejected within the last second.
         rejected: Vec<String>,
     },
+    /// A controller acknowledged that a runner leaves.
+    Departed {
+        /// When, in milliseconds.
+        at: u64,
+        /// The incarnation of the runner.
+        runner: String,
+    },
     /// A fault was injected.
     Fault {
         /// When, in milliseconds.
--- a/tools/soak/src/report.rs
+++ b/tools/soak/src/report.rs
@@ -18,6 +18,7 @@
         Promise::Twice,
         Promise::Limit,
         Promise::Lost,
+        Promise::Drain,
     ];
     for promise in promises {
         let checks = verdict.checks.get(&promise).copied().unwrap_or_default();
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -67,6 +67,12 @@
 /// How long a runner that fell over is gone.
 const FALL_TIME: Duration = Duration::from_secs(1);
 
+/// How long controllers that are killed at a departure are down.
+const CORE_RESTART: Duration = Duration::from_millis(300);
+
+/// How long a runner serves on after its departure.
+const DEPARTED_TIME: Duration = Duration::from_secs(10);
+
 /// The time from SIGTERM to SIGKILL.
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -291,6 +297,9 @@
                 deployment.set_mode(*i, &Mode::default());
             }
         }
+        Fault::Depart(i, controller, killed) => {
+            depart(&deployment, &callers, (*i, *controller), killed, &note).await;
+        }
         Fault::Brittle(service, brittle, length) => {
             let indices = deployment.runners_of(service);
             let brittle = Brittle {
@@ -317,6 +326,48 @@
     }
 }
 
+/// Lets a runner leave at a controller, kills controllers at the acknowledgement, and starts
+/// the runner anew after a while.
+async fn depart<N>(
+    deployment: &Deployment,
+    callers: &Callers,
+    (runner, controller): (usize, usize),
+    killed: &[usize],
+    note: &N,
+) where
+    N: Fn(Option<String>),
+{
+    let Some((called, id)) = deployment.depart(runner, controller).await else {
+        return;
+    };
+    // That which was drawn may have been down.
+    let killed = match killed {
+        [_] => vec![called],
+        _ => killed.to_vec(),
+    };
+    for k in &killed {
+        deployment.controllers[*k].lock().kill();
+    }
+    callers.note(Record::Departed {
+        at: now_ms(),
+        runner: id.clone(),
+    });
+    for k in &killed {
+        note(Some(controller_name(*k)));
+    }
+    sleep(CORE_RESTART).await;
+    for k in &killed {
+        deployment.controllers[*k].lock().start().ok();
+        note(Some(controller_name(*k)));
+    }
+    sleep(DEPARTED_TIME).await;
+    // Another fault may have started it anew.
+    if deployment.runner_id(runner) == id {
+        note(Some(deployment.kill_runner(runner)));
+        deployment.start_runner(runner, false).ok();
+    }
+}
+
 /// Keeps runners brittle, and starts those anew that have fallen over.
 async fn keep_brittle(deployment: &Deployment, indices: &[usize], brittle: Brittle, length: u64) {
     let mode = Mode {
--- a/tools/soak/src/run/deployment.rs
+++ b/tools/soak/src/run/deployment.rs
@@ -8,7 +8,7 @@
     plan::Size,
     processes::Process,
     record::Record,
-    runner::{Mode, RunnerSettings},
+    runner::{Mode, Phase, RunnerSettings},
     wire::call,
 };
 use parking_lot::Mutex;
@@ -19,7 +19,7 @@
     fs, io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 /// The ports, the same on all hosts of the run's own network.
@@ -54,6 +54,11 @@
 /// The time for one call of an operator.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
+/// The time within which a departure is acknowledged, and the calls after which a runner
+/// ends without that.
+const ACKNOWLEDGED: Duration = Duration::from_secs(1);
+const DEPARTURE_CALLS: usize = 6;
+
 /// A runner's process and settings.
 pub(super) struct RunnerProcess {
     pub(super) process: Mutex<Process>,
@@ -230,6 +235,7 @@
         let models = if is_stream { &MODELS[..] } else { &[] };
         let settings = RunnerSettings {
             id: String::new(),
+            born: 0,
             service: if is_stream { STREAMS } else { PLAIN }.to_owned(),
             address: SocketAddr::new(self.network.ip(FIRST_RUNNER + i), RUNNER),
             centre: format!("z{}", i % 3),
@@ -257,6 +263,7 @@
         *incarnation += 1;
         let mut settings = runner.settings.lock();
         settings.id = format!("i-{i}-{incarnation}");
+        settings.born = unix_ms();
         if is_other {
             let other = if settings.version == "v1" { "v2" } else { "v1" };
             other.clone_into(&mut settings.version);
@@ -289,6 +296,32 @@
         of_service.map(|(i, _)| i).collect()
     }
 
+    /// Sends the departure of a runner to a controller, and to the others until one
+    /// acknowledges it; returns which one did, and which runner has left.
+    pub(super) async fn depart(&self, i: usize, controller: usize) -> Option<(usize, String)> {
+        let departed = Mode {
+            phase: Phase::Departed,
+            ..Mode::default()
+        };
+        self.set_mode(i, &departed);
+        let (id, born) = {
+            let settings = self.runners[i].settings.lock();
+            (settings.id.clone(), settings.born)
+        };
+        let path = format!("/Instances.Deregister/{id}");
+        let body = json!({ "born": born }).to_string();
+        let controls = self.network.controls(self.controllers.len());
+        for number in controller..controller + DEPARTURE_CALLS {
+            let called = number % controls.len();
+            let sent = call(controls[called], "POST", &path, &body);
+            if matches!(timeout(ACKNOWLEDGED, sent).await, Some(Ok((200, _)))) {
+                return Some((called, id));
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        None
+    }
+
     pub(super) fn runner_id(&self, i: usize) -> String {
         self.runners[i].settings.lock().id.clone()
     }
@@ -349,6 +382,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or_default()
+}
+
 fn port_offset(i: usize) -> u16 {
     u16::try_from(i).unwrap_or(u16::MAX)
 }
--- a/tools/soak/src/runner.rs
+++ b/tools/soak/src/runner.rs
@@ -19,7 +19,7 @@
     net::SocketAddr,
     path::PathBuf,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 /// The settings of a runner.
@@ -27,6 +27,8 @@
 pub(crate) struct RunnerSettings {
     /// The identity of this incarnation.
     pub(crate) id: String,
+    /// When it starts, in milliseconds of the time of day.
+    pub(crate) born: u64,
     pub(crate) service: String,
     pub(crate) address: SocketAddr,
     pub(crate) centre: String,
@@ -66,14 +68,27 @@
     pub slow: f64,
     /// Whether nothing is answered and no heartbeat is sent.
     pub silent: bool,
-    /// Whether it leaves soon.
-    pub draining: bool,
+    /// What it says of itself in heartbeats.
+    pub phase: Phase,
     /// The share of resumed streams that begin anew, which no caller may notice.
     pub anew: f64,
     /// Whether it falls over when it rejects too much.
     pub brittle: Option<Brittle>,
 }
 
+/// Whether a runner wants requests.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// It wants requests.
+    #[default]
+    Ready,
+    /// It leaves soon.
+    Draining,
+    /// It has left, and sends no heartbeats.
+    Departed,
+}
+
 /// A time in which the runners of a service fall over when they reject too much.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
@@ -107,7 +122,7 @@
             unframed: 0.3,
             slow: 1.0,
             silent: false,
-            draining: false,
+            phase: Phase::Ready,
             anew: 0.0,
             brittle: None,
         }
@@ -133,7 +148,6 @@
 
 struct Runner {
     settings: RunnerSettings,
-    born: u64,
     state: Mutex<State>,
     record: Mutex<File>,
 }
@@ -198,13 +212,11 @@
         .create(true)
         .append(true)
         .open(&settings.record)?;
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let state = State {
         models: settings.models.clone(),
         ..State::default()
     };
     let runner = Arc::new(Runner {
-        born: u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or_default(),
         state: Mutex::new(state),
         record: Mutex::new(record),
         settings,
--- a/tools/soak/src/runner/heartbeats.rs
+++ b/tools/soak/src/runner/heartbeats.rs
@@ -1,6 +1,6 @@
 //! The heartbeats of a runner.
 
-use super::{Runner, State};
+use super::{Phase, Runner, State};
 use crate::wire::call;
 use sequoiawing_runtime::{sleep, timeout};
 use serde_json::{Value, json};
@@ -23,7 +23,8 @@
     let mut next = 0;
     let mut named: Option<SocketAddr> = None;
     loop {
-        if !runner.mode().silent {
+        let mode = runner.mode();
+        if !mode.silent && mode.phase != Phase::Departed {
             let address = named.unwrap_or(settings.controls[next % settings.controls.len()]);
             let body = description(&runner).to_string();
             let sent = timeout(ACKNOWLEDGED, call(address, "POST", &path, &body));
@@ -44,15 +45,10 @@
     let settings = &runner.settings;
     let mut state = runner.state.lock();
     state.heartbeats += 1;
-    let phase = if state.mode.draining {
-        "draining"
-    } else {
-        "ready"
-    };
     let mut body = json!({
         "service": settings.service, "addr": settings.address, "zone": settings.centre,
-        "version": settings.version, "slots": settings.slots, "state": phase,
-        "cold_left_ms": 0, "seq": state.heartbeats, "born": runner.born,
+        "version": settings.version, "slots": settings.slots, "state": state.mode.phase,
+        "cold_left_ms": 0, "seq": state.heartbeats, "born": settings.born,
     });
     if !settings.models.is_empty() {
         body["stage"] = json!("mixed");
--- a/tools/soak/tests/judge.rs
+++ b/tools/soak/tests/judge.rs
@@ -288,6 +288,17 @@
     case
 }
 
+/// A runner whose departure was acknowledged at 20 s, and that received a request at `at`.
+fn departed(at: u64, status: u16) -> Case {
+    let case = Case::default().sent(at - 1, "d", |_| ());
+    let mut case = case.arrival(at, "d", "r1", Some(4_000), true, status);
+    case.0.push(Record::Departed {
+        at: 20_000,
+        runner: "r1".to_owned(),
+    });
+    case
+}
+
 macro_rules! cases {
     ($($name:ident: $case:expr => $promise:ident, $text:literal;)*) => {$(
         #[test]
@@ -313,6 +324,9 @@
 }
 
 cases! {
+    a_request_to_a_departed_runner_is_seen: departed(22_001, 200) => Drain, "received 1 requests";
+    a_controller_that_was_killed_long_before_excuses_nothing:
+        departed(25_001, 200).controller_fault(22_000) => Drain, "received 1 requests";
     requests_to_a_runner_that_wants_none_are_seen: pressed(10_500, 3, 0) => Budget, "received 3 after the notice";
     requests_up_to_the_end_are_seen: pressed(13_997, 3, 0) => Budget, "received 3 after the notice";
     a_request_that_a_stop_leaves_unanswered_is_seen:
@@ -409,6 +423,11 @@
 }
 
 clean_cases! {
+    a_request_soon_after_a_departure_is_allowed: departed(22_000, 200);
+    a_request_for_another_runner_at_the_address_is_allowed: departed(23_000, 421);
+    a_request_while_controllers_are_disturbed_is_allowed:
+        departed(23_000, 200).controller_fault(20_500);
+    a_request_of_a_disturbed_gateway_is_allowed: departed(25_000, 200).gateway_fault(20_000);
     two_requests_to_a_runner_that_wants_none_are_allowed: pressed(10_500, 2, 0);
     requests_within_the_notice_are_allowed: pressed(10_400, 50, 0);
     requests_after_the_end_are_allowed: pressed(14_000, 50, 0);
--- a/tools/soak/tests/plan.rs
+++ b/tools/soak/tests/plan.rs
@@ -9,6 +9,7 @@
     length: 50_000,
     is_brittle: false,
     has_backoffs: false,
+    has_departures: false,
 };
 
 #[test]
--- a/tools/soak/tests/seeded.rs
+++ b/tools/soak/tests/seeded.rs
@@ -88,6 +88,15 @@
     assert!(output.contains("runner that wanted none"), "{output}");
 }
 
+// Departures were lost with the controllers that had acknowledged them, in each of six seeds.
+#[test]
+fn departed_runners_get_no_requests() {
+    let (_, output) = play(1, 50, &["--departures"]);
+    assert!(output.contains("| DRAIN"), "not judged: {output}");
+    assert!(!output.contains("| DRAIN   | 0 "), "not judged: {output}");
+    assert!(!output.contains("DRAIN: "), "{output}");
+}
+
 /// Returns the processes that a process started and that still run.
 fn children(parent: u32) -> Vec<String> {
     let entries = fs::read_dir("/proc").expect("the processes can be listed");
