--- a/crates/sequoiawing_gateway/src/response_body.rs
+++ b/crates/sequoiawing_gateway/src/response_body.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Gives back the room that was taken.
+    pub(crate) fn release(&mut self) {
+        self.taken = None;
+    }
+
     /// Takes room for an incomplete event of so many bytes, in place of that taken before.
     ///
     /// # Errors
@@ -102,7 +107,7 @@
     /// Returns an error if there is none beside other large bodies.
     pub(crate) fn fit(&mut self, bytes: usize) -> Result<(), String> {
         if bytes <= SMALL_EVENT_BYTES {
-            self.taken = None;
+            self.release();
             return Ok(());
         }
         let (room, held) = self
--- a/crates/sequoiawing_gateway/src/response_body/tests.rs
+++ b/crates/sequoiawing_gateway/src/response_body/tests.rs
@@ -23,7 +23,7 @@
         .expect("a small event needs none");
     assert!(rooms[4].fit(SMALL_EVENT_BYTES + 1).is_err());
     // An event that was passed on gives its room back.
-    rooms[0].fit(0).expect("nothing is held");
+    rooms[0].release();
     rooms[4].fit(2 * SMALL_EVENT_BYTES).expect("there is room");
     drop(rooms);
     assert_eq!(budget.counts().held, 0);
--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -75,10 +75,12 @@
                 },
             };
             let complete = position.push(part).map_err(|error| error.to_string())?;
-            self.room.fit(self.ahead.len() + position.partial_len())?;
             if !complete.is_empty() {
+                // They count as passed on: an error here would leave a gap in the stream.
+                self.room.release();
                 return Ok(Some(complete));
             }
+            self.room.fit(self.ahead.len() + position.partial_len())?;
         }
     }
 
