--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -17,7 +17,8 @@
 use rustix::process::Signal;
 use sequoiawing_runtime::{run as block_on, sleep, spawn, timeout};
 use std::{
-    fs, io,
+    fs::{self, File},
+    io,
     net::SocketAddr,
     path::PathBuf,
     sync::{
@@ -89,10 +90,7 @@
 }
 
 async fn play(settings: &Settings) -> io::Result<bool> {
-    let folder = settings.logs.join(settings.seed.to_string());
-    fs::remove_dir_all(&folder).ok();
-    fs::create_dir_all(&folder)?;
-    let folder = folder.canonicalize()?;
+    let (folder, _claim) = claim_folder(settings)?;
     let size = &settings.size;
     let first = settings.former.as_ref().unwrap_or(&settings.platform);
     let deployment = Deployment::start(first, folder.clone(), size, &BOUNDS)?;
@@ -139,6 +137,21 @@
     finish(&folder, &records, &verdict)
 }
 
+/// Makes the empty folder of a seed. It is the run's own until the returned file is closed:
+/// another run would mix its records and disks with it.
+fn claim_folder(settings: &Settings) -> io::Result<(PathBuf, File)> {
+    fs::create_dir_all(&settings.logs)?;
+    let folder = settings.logs.join(settings.seed.to_string());
+    let lock = File::create(folder.with_extension("lock"))?;
+    lock.try_lock().map_err(|_| {
+        let folder = folder.display();
+        io::Error::other(format!("another run uses {folder}; choose other --logs"))
+    })?;
+    fs::remove_dir_all(&folder).ok();
+    fs::create_dir_all(&folder)?;
+    Ok((folder.canonicalize()?, lock))
+}
+
 /// Keeps the folder of a seed that broke a promise.
 fn finish(folder: &std::path::Path, records: &[Record], verdict: &Verdict) -> io::Result<bool> {
     if verdict.findings.is_empty() {
--- a/tools/soak/tests/seeded.rs
+++ b/tools/soak/tests/seeded.rs
@@ -29,7 +29,8 @@
 
 /// Plays a seed; returns whether all promises held, and what was printed.
 fn play(seed: u64, seconds: u64, options: &[&str]) -> (bool, String) {
-    let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak");
+    let folder = format!("soak{}", options.concat());
+    let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join(folder);
     let played = Command::new(env!("CARGO_BIN_EXE_soak"))
         .args(["run", "--seed", &seed.to_string()])
         .args(["--seconds", &seconds.to_string()])
@@ -97,6 +98,27 @@
     assert!(!output.contains("DRAIN: "), "{output}");
 }
 
+// Two runs of one seed at the same time emptied each other's folder, and both found promises
+// broken that held.
+#[test]
+fn a_folder_is_of_one_run() {
+    let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join("claimed");
+    let mut run = Command::new(env!("CARGO_BIN_EXE_soak"));
+    run.args(["run", "--seconds", "1", "--platform"])
+        .arg(platform())
+        .arg("--logs")
+        .arg(&logs);
+    let mut first = run.stdout(Stdio::null()).spawn().expect("the soak starts");
+    let has_started = wait_until(|| children(first.id()).len() == 14);
+    let second = run.output().expect("the soak runs");
+    first.kill().expect("the soak can be killed");
+    first.wait().expect("the soak has ended");
+    assert!(has_started, "the first run did not start its processes");
+    let errors = String::from_utf8_lossy(&second.stderr);
+    assert!(errors.contains("another run uses"), "{errors}");
+    assert_eq!(second.status.code(), Some(2));
+}
+
 /// Returns the processes that a process started and that still run.
 fn children(parent: u32) -> Vec<String> {
     let entries = fs::read_dir("/proc").expect("the processes can be listed");
