--- a/crates/sequoiawing_policy/src/serving/engine.rs
+++ b/crates/sequoiawing_policy/src/serving/engine.rs
@@ -16,6 +16,8 @@
     Rejected,
     /// The address now belongs to another upstream.
     Moved,
+    /// No part of the order was sent.
+    NotSent,
     /// No reply arrived; the order may still be executed.
     Unknown,
 }
--- a/crates/sequoiawing_policy/src/serving/loader/engine.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/engine.rs
@@ -1,4 +1,8 @@
-use super::{EngineReply, EngineReport, LoadSource, LoaderAction, load_time};
+use super::{
+    EngineReply, EngineReport, LoadSource, LoaderAction,
+    late_orders::{Reserve, SentOrder},
+    load_time,
+};
 use sequoiawing_catalog::ModelSpec;
 use sequoiawing_fleet::{OrderKind, UpstreamState};
 use sequoiawing_types::{Name, Time};
@@ -148,8 +152,10 @@
     held: BTreeMap<Name, Time>,
     accepted: Option<u64>,
     pending: Option<PendingOrder>,
-    /// When the last order was sent.
-    ordered: Time,
+    /// The last order that was sent.
+    last_order: SentOrder,
+    /// What is kept free for orders to former starts.
+    pub(super) reserve: Reserve,
     /// Whether the last order was not answered.
     is_unanswered: bool,
     awaiting_report: bool,
@@ -179,7 +185,8 @@
             last_adapter_load: None,
             accepted: None,
             pending: None,
-            ordered: Time::ZERO,
+            last_order: SentOrder::default(),
+            reserve: Reserve::default(),
             is_unanswered: false,
             awaiting_report: false,
             backoff_until: Time::ZERO,
@@ -244,12 +251,23 @@
         self.job.is_none() && self.is_serving() && now >= self.backoff_until
     }
 
-    /// Returns whether the engine leaves an order unanswered. It may carry it out later.
+    /// Returns whether the last order was not sent or not answered. It may be carried out
+    /// later.
     pub(super) fn is_stalled(&self, now: Time) -> bool {
-        let is_late = self.pending.is_some() && now >= self.ordered + ORDER_PATIENCE;
+        let is_late = self.pending.is_some() && now >= self.last_order.sent + ORDER_PATIENCE;
         is_late || self.is_unanswered
     }
 
+    /// Returns the order whose reply is due.
+    pub(super) fn pending_order(&self) -> Option<SentOrder> {
+        self.pending.is_some().then_some(self.last_order)
+    }
+
+    /// Returns the number of orders that the engine has accepted, if it is known.
+    pub(super) fn accepted(&self) -> Option<u64> {
+        self.accepted
+    }
+
     /// Returns whether the models of the engine can serve requests.
     pub(super) fn is_serving(&self) -> bool {
         !self.state.leaving && !self.is_unreachable && !self.is_evacuated
@@ -338,7 +356,8 @@
     pub(super) fn has_adapter_slot(&self, now: Time, slots: u32) -> bool {
         let in_use = self.adapters.values();
         let in_use = in_use.filter(|used| now < **used + ADAPTER_USE_TTL);
-        in_use.count() + self.queued_adapters.len() < slots as usize
+        let taken = in_use.count() + self.queued_adapters.len();
+        taken + (self.reserve.adapters as usize) < slots as usize
     }
 
     /// Returns the time until the engine accepts other orders after its load.
@@ -363,7 +382,7 @@
     /// one started.
     pub(super) fn on_reply(&mut self, now: Time, reply: EngineReply) -> Option<LoadSource> {
         let pending = self.pending.take()?;
-        self.is_unanswered = reply == EngineReply::Unknown;
+        self.is_unanswered = matches!(reply, EngineReply::NotSent | EngineReply::Unknown);
         match reply {
             EngineReply::Started => {
                 self.accepted = self.accepted.map(|a| a + 1);
@@ -380,7 +399,7 @@
                 return self.apply_order(now, &pending);
             }
             EngineReply::Busy => self.on_busy(now),
-            EngineReply::Unknown => {
+            EngineReply::NotSent | EngineReply::Unknown => {
                 self.accepted = None;
                 self.backoff_until = now + UNANSWERED_DELAY;
             }
@@ -421,7 +440,11 @@
                 None
             }
             PendingOrder::Load => {
-                let job = self.job.as_mut()?;
+                let Some(job) = self.job.as_mut() else {
+                    // The load was cancelled when its order was under way.
+                    self.accepted = None;
+                    return None;
+                };
                 let ready = now + job.duration;
                 job.phase = JobPhase::Loading { ready };
                 self.evicted.remove(&job.model);
@@ -514,8 +537,17 @@
             self.request_report(name, out);
             return;
         };
+        let memory = match &kind {
+            OrderKind::Load { memory, .. } => *memory,
+            _ => 0,
+        };
+        self.last_order = SentOrder {
+            sent: now,
+            expected,
+            memory,
+            adapters: u32::from(matches!(kind, OrderKind::LoadAdapter { .. })),
+        };
         self.pending = Some(pending);
-        self.ordered = now;
         out.push(LoaderAction::Order {
             engine: name.clone(),
             kind,
@@ -530,16 +562,20 @@
 
     fn next_order(&self) -> Option<(PendingOrder, OrderKind)> {
         if let Some(adapter) = self.queued_adapters.front() {
-            let is_full = self.adapters.len() >= self.adapter_slots as usize;
+            let taken = self.adapters.len() + self.reserve.adapters as usize;
+            let is_full = taken >= self.adapter_slots as usize;
             let oldest = self.adapters.iter().min_by_key(|(_, ordered)| **ordered);
             if is_full && let Some((oldest, _)) = oldest {
                 let adapter = oldest.clone();
                 let pending = PendingOrder::UnloadAdapter(adapter.clone());
                 return Some((pending, OrderKind::UnloadAdapter { adapter }));
             }
-            let adapter = adapter.clone();
-            let pending = PendingOrder::LoadAdapter(adapter.clone());
-            return Some((pending, OrderKind::LoadAdapter { adapter }));
+            // Without an adapter that could give way, all slots are kept for late orders.
+            if !is_full {
+                let adapter = adapter.clone();
+                let pending = PendingOrder::LoadAdapter(adapter.clone());
+                return Some((pending, OrderKind::LoadAdapter { adapter }));
+            }
         }
         let job = self.job.as_ref()?;
         match job.phase {
--- a/crates/sequoiawing_policy/src/serving/loader/memory.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/memory.rs
@@ -14,7 +14,7 @@
     }
 
     /// Returns the memory of an engine that is free for models, in megabytes,
-    /// after the reserve for adapters. Returns `None` if the engine may be
+    /// after the reserves for adapters and for late orders. Returns `None` if the engine may be
     /// overcommitted.
     pub(super) fn free_memory(&self, pool: &CatalogPool, engine: &Engine) -> Option<u64> {
         let capacity = pool.engine.as_ref()?.weights;
@@ -29,7 +29,7 @@
         let adapters: u64 = adapters.sum();
         capacity.checked_sub(models.saturating_add(adapters))?;
         let adapters = adapters.max(self.index.adapter_reserve(&pool.name));
-        Some(capacity.saturating_sub(models + adapters))
+        Some(capacity.saturating_sub(models + adapters + engine.reserve.memory))
     }
 
     /// Cancels loads that no longer fit, because an engine turned out to hold
--- a/crates/sequoiawing_policy/src/serving/loader/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/mod.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod evacuation;
 mod inventory;
+mod late_orders;
 mod memory;
 mod stream_demand;
 mod turns;
@@ -14,6 +15,7 @@
 use demand::{DemandSample, DemandTracker};
 use engine::{Engine, Job, JobPhase};
 use inventory::PoolInventory;
+use late_orders::LateOrders;
 use sequoiawing_catalog::{Catalog, CatalogIndex, CatalogPool, ModelSpec};
 use sequoiawing_fleet::{OrderKind, UpstreamState};
 use sequoiawing_types::{Name, Time};
@@ -168,6 +170,7 @@
     settings: LoaderSettings,
     index: CatalogIndex,
     engines: BTreeMap<Name, Engine>,
+    late_orders: LateOrders,
     /// The evacuated data centres.
     evacuated: BTreeSet<Name>,
     demands: DemandTracker,
@@ -186,6 +189,7 @@
             settings,
             index: CatalogIndex::default(),
             engines: BTreeMap::new(),
+            late_orders: LateOrders::default(),
             evacuated: BTreeSet::new(),
             demands: DemandTracker::default(),
             streams: StreamDemand::default(),
@@ -200,9 +204,7 @@
         match event {
             LoaderEvent::Catalog(catalog) => self.index = CatalogIndex::new(&catalog),
             LoaderEvent::Upstream(state) => self.on_upstream(now, state),
-            LoaderEvent::Gone(name) => {
-                self.engines.remove(&name);
-            }
+            LoaderEvent::Gone(name) => self.remove_engine(&name),
             LoaderEvent::Unreachable(unreachable) => {
                 for (name, engine) in &mut self.engines {
                     engine.is_unreachable = unreachable.contains(name);
@@ -243,6 +245,7 @@
             LoaderEvent::Tick => {
                 self.adapter_plans
                     .retain(|p| now < p.ready + ADAPTER_PLAN_TTL);
+                self.reserve_for_late_orders(now);
                 self.cancel_oversized();
                 self.decide(now);
                 self.advance_jobs(now, out);
@@ -283,7 +286,7 @@
     fn on_upstream(&mut self, now: Time, state: Arc<UpstreamState>) {
         let pool = self.index.pool(&state.pool);
         if pool.is_none_or(|p| p.engine.is_none()) {
-            self.engines.remove(&state.name);
+            self.remove_engine(&state.name);
             return;
         }
         let known = self.engines.get_mut(&state.name);
@@ -293,14 +296,24 @@
             engine.announce(now, state);
             return;
         }
+        self.remove_engine(&state.name);
         let engine = Engine::new(now, state, is_evacuated);
         self.engines.insert(engine.state.name.clone(), engine);
     }
 
     fn on_reply(&mut self, now: Time, name: &Name, reply: EngineReply) {
+        if self.late_orders.on_reply(now, name, reply) {
+            return;
+        }
         let Some(engine) = self.engines.get_mut(name) else {
             return;
         };
+        if reply == EngineReply::Unknown
+            && let Some(order) = engine.pending_order()
+        {
+            let epoch = engine.state.epoch;
+            self.late_orders.record(name, epoch, order);
+        }
         let started = engine.on_reply(now, reply);
         if let Some((model, ready)) = engine.last_adapter_load.take() {
             self.adapter_plans.push(LoadPlan {
@@ -598,7 +611,9 @@
     /// Advances the jobs of all engines.
     fn advance_jobs(&mut self, now: Time, out: &mut Vec<LoaderAction>) {
         for (name, engine) in &mut self.engines {
-            engine.advance(now, name, out);
+            if !self.late_orders.is_awaited(now, name) {
+                engine.advance(now, name, out);
+            }
         }
     }
 }
--- a/crates/sequoiawing_policy/tests/loader/main.rs
+++ b/crates/sequoiawing_policy/tests/loader/main.rs
@@ -32,7 +32,11 @@
     no_overcommitment_with_delayed_orders: Faults { lost: 0.2, delayed: true, ..Faults::default() };
     no_overcommitment_with_leader_changes: Faults { leaders: true, late: true, ..Faults::default() };
     no_overcommitment_with_restarts: Faults { restarts: true, ..Faults::default() };
-    no_overcommitment_with_all_faults: Faults { late: true, lost: 0.2, delayed: true, leaders: true, restarts: true };
+    no_overcommitment_with_all_faults: Faults { late: true, lost: 0.2, delayed: true, leaders: true, restarts: true, crashes: false };
+    // Guards against a new start that is filled while an order to the former one may still
+    // arrive.
+    no_overcommitment_with_orders_to_former_starts: Faults { lost: 0.2, delayed: true, crashes: true, ..Faults::default() };
+    no_overcommitment_with_orders_to_former_starts_and_late_announcements: Faults { late: true, lost: 0.2, delayed: true, crashes: true, ..Faults::default() };
 }
 
 #[test]
--- a/crates/sequoiawing_policy/tests/loader/world.rs
+++ b/crates/sequoiawing_policy/tests/loader/world.rs
@@ -37,6 +37,8 @@
     pub(crate) leaders: bool,
     /// Engines restart.
     pub(crate) restarts: bool,
+    /// Engines restart when they leave an order unanswered, and the next start executes it.
+    pub(crate) crashes: bool,
 }
 
 struct Engine {
@@ -392,8 +394,15 @@
     fn order(&mut self, name: Name, kind: OrderKind, expected: u64) {
         let is_lost = self.rng.random::<f64>() < self.faults.lost;
         if is_lost && self.faults.delayed {
-            let wait = self.rng.random_range(500..4_000);
+            let wait = if self.faults.crashes {
+                self.rng.random_range(2_000..12_000)
+            } else {
+                self.rng.random_range(500..4_000)
+            };
             self.schedule(wait, Pending::Order(name.clone(), kind, expected));
+            if let Some(engine) = self.engines.get_mut(&name).filter(|_| self.faults.crashes) {
+                engine.restart();
+            }
             self.give_up(name);
             return;
         }
