--- a/crates/sequoiawing_gateway/src/answer_end.rs
+++ b/crates/sequoiawing_gateway/src/answer_end.rs
@@ -3,12 +3,6 @@
 use crate::{GatewayExchange, GatewayState, slots::Slot};
 use hyper::{Method, http::response::Parts};
 use sequoiawing_http::BodyFraming;
-use sequoiawing_runtime::sleep;
-use std::time::Duration;
-
-/// The time between the end of such an answer and the check of its upstream. The kernel
-/// closes the sockets of a killed process one after the other.
-pub(crate) const CHECK_DELAY: Duration = Duration::from_millis(50);
 
 /// Returns how the answer to a request tells where its body ends.
 pub(crate) fn answer_framing(exchange: &GatewayExchange, parts: &Parts) -> BodyFraming {
@@ -22,9 +16,10 @@
     /// Checks that an answer whose body has ended is complete.
     ///
     /// One that ends with its connection ends in the same way if its upstream is killed.
-    /// It is complete if another connection, which was open before the request was sent,
-    /// shows that the upstream's process still runs. That something accepts connections at
-    /// the address is no evidence: a process that was started again does so too.
+    /// It is complete if the upstream's process responds on another connection, which was
+    /// open before the request was sent: a process that has ended sends nothing. That
+    /// something accepts connections at the address is no evidence: a process that was
+    /// started again does so too.
     ///
     /// # Errors
     ///
@@ -37,10 +32,9 @@
         if framing != BodyFraming::Connection {
             return Ok(());
         }
-        sleep(CHECK_DELAY).await;
         let cause = match &slot.process {
-            Some(process) if process.has_lived() => return Ok(()),
-            Some(_) => "the upstream's process has ended",
+            Some(process) if process.has_lived().await => return Ok(()),
+            Some(_) => "the upstream's process does not respond",
             None => "nothing shows that the upstream's process still runs",
         };
         log::warn!(
--- a/crates/sequoiawing_gateway/src/dialect.rs
+++ b/crates/sequoiawing_gateway/src/dialect.rs
@@ -150,6 +150,10 @@
     /// Adds the headers that are specific to one attempt.
     fn add_attempt_headers(&self, headers: &mut HeaderMap, attempt: &Attempt<'_>);
 
+    /// Adds the headers by which any upstream refuses a request at once, without a slot. Its
+    /// response shows that the process still runs.
+    fn add_liveness_headers(&self, headers: &mut HeaderMap);
+
     /// Parses the head of a response from the address of `upstream`.
     fn classify(
         &self,
--- a/crates/sequoiawing_gateway/src/isolation.rs
+++ b/crates/sequoiawing_gateway/src/isolation.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// How often the gateway checks.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The number of upstreams that are probed at once. One may have failed, and another may
 /// be about to.
@@ -18,6 +18,7 @@
 /// fails, so that callers are sent to other data centres.
 pub(crate) async fn watch_isolation(state: Arc<GatewayState>, shutdown: Shutdown) {
     while shutdown.or(sleep(CHECK_INTERVAL)).await.is_some() {
+        state.standstills.lock().tick(state.now());
         let was_isolated = state.is_isolated();
         let log_age = state.hubs.lock().log_age(state.now());
         let is_suspicious = state.isolation.lock().observe(log_age);
--- a/crates/sequoiawing_gateway/src/process_watch.rs
+++ b/crates/sequoiawing_gateway/src/process_watch.rs
@@ -1,11 +1,12 @@
-//! Silent connections that show whether an upstream's process lives on.
+//! Connections that show whether an upstream's process lives on.
 //!
 //! See [docs/design/answer-ends.md](../../../docs/design/answer-ends.md).
 
-use crate::{GatewayState, answer_end::CHECK_DELAY, slots::Slot};
+use crate::{Dialect, GatewayState, slots::Slot};
 use futures::lock::Mutex as AsyncMutex;
+use hyper::{Request, header::HOST};
 use parking_lot::Mutex;
-use sequoiawing_http::{Connection, Connector};
+use sequoiawing_http::{Body, Connection, Connector, empty};
 use sequoiawing_policy::serving::{FramingHistory, ProcessChain};
 use sequoiawing_runtime::{sleep, spawn};
 use sequoiawing_types::Name;
@@ -17,8 +18,8 @@
     time::Duration,
 };
 
-/// How often the silent connection to an upstream is replaced while answers of it are under
-/// way. Upstreams close connections without requests after some seconds.
+/// How often the connection to an upstream is replaced while answers of it are under way.
+/// Upstreams close connections without requests after some seconds.
 const REPLACE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The processes that are observed, and the pools for which that is needed.
@@ -32,18 +33,23 @@
 struct ProcessWatch {
     address: SocketAddr,
     connector: Arc<dyn Connector>,
-    /// Held while a connection is opened.
-    opening: AsyncMutex<()>,
+    dialect: Arc<dyn Dialect>,
+    /// Held while a connection is opened or used.
+    turn: AsyncMutex<()>,
     observed: Mutex<Observed>,
 }
 
-/// The silent connection, and the process that accepted it.
+/// The connection on which nothing was sent, and the process that accepted it.
 #[derive(Default)]
 struct Observed {
     connection: Option<Connection>,
     chain: ProcessChain,
     /// How often a request could not connect.
     failures: u64,
+    /// How often the process was asked for a response.
+    checks: u64,
+    /// Whether the last check got a response.
+    has_answered: bool,
 }
 
 /// Shows whether the process that an upstream had at a request's start still runs.
@@ -59,10 +65,19 @@
 }
 
 impl ProcessEvidence {
-    /// Returns whether the process has lived from the request's start until now.
-    pub(crate) fn has_lived(&self) -> bool {
-        let observed = self.watch.observed.lock();
-        observed.chain.has_lived(self.number, observed.is_open())
+    /// Returns whether the process has lived from the request's start until after this call
+    /// began.
+    pub(crate) async fn has_lived(&self) -> bool {
+        let watch = &self.watch;
+        let checks = watch.observed.lock().checks;
+        let _turn = watch.turn.lock().await;
+        // Answers that end at one time need one check.
+        if watch.observed.lock().checks == checks {
+            let is_shared = Arc::strong_count(watch) > 1;
+            Box::pin(watch.check(is_shared)).await;
+        }
+        let observed = watch.observed.lock();
+        observed.chain.has_lived(self.number, observed.has_answered)
     }
 }
 
@@ -77,7 +92,7 @@
             Ok(number) => return Ok(Some(number)),
             Err(failures) => failures,
         };
-        let _turn = self.opening.lock().await;
+        let _turn = self.turn.lock().await;
         match self.current() {
             Ok(number) => return Ok(Some(number)),
             Err(now) if now != failures => return Ok(None),
@@ -112,17 +127,36 @@
         }
     }
 
-    /// Replaces the connection before the upstream closes it for its silence.
-    async fn replace(&self) {
-        let _turn = self.opening.lock().await;
-        let Ok(connection) = self.connector.connect(self.address).await else {
-            return;
+    /// Asks the process for a response, which uses up the connection. Another one is opened
+    /// before if `is_replaced`, so that the observation of the process goes on.
+    async fn check(&self, is_replaced: bool) {
+        let next = if is_replaced {
+            self.connector.connect(self.address).await.ok()
+        } else {
+            None
+        };
+        let former = {
+            let mut observed = self.observed.lock();
+            observed.checks += 1;
+            observed.connection.take()
+        };
+        let has_answered = match former {
+            Some(connection) => connection.responds(self.liveness_request()).await,
+            None => false,
         };
-        sleep(CHECK_DELAY).await;
         let mut observed = self.observed.lock();
-        let is_former_open = observed.is_open();
-        observed.chain.replace(is_former_open);
-        observed.connection = Some(connection);
+        observed.has_answered = has_answered;
+        observed.chain.replace(has_answered);
+        observed.connection = next;
+    }
+
+    fn liveness_request(&self) -> Request<Body> {
+        let mut request = Request::new(empty());
+        let headers = request.headers_mut();
+        let host = self.address.to_string().parse();
+        headers.extend(host.ok().map(|host| (HOST, host)));
+        self.dialect.add_liveness_headers(headers);
+        request
     }
 }
 
@@ -133,21 +167,23 @@
         let Some(watch) = watch.upgrade() else {
             return;
         };
-        watch.replace().await;
+        let _turn = watch.turn.lock().await;
+        watch.check(true).await;
     }
 }
 
 impl ProcessWatches {
     /// Returns the watch of an address.
-    fn watch(&self, address: SocketAddr, connector: &Arc<dyn Connector>) -> Arc<ProcessWatch> {
+    fn watch(&self, address: SocketAddr, state: &GatewayState) -> Arc<ProcessWatch> {
         let mut addresses = self.addresses.lock();
         if let Some(watch) = addresses.get(&address).and_then(Weak::upgrade) {
             return watch;
         }
         let watch = Arc::new(ProcessWatch {
             address,
-            connector: connector.clone(),
-            opening: AsyncMutex::default(),
+            connector: state.connector.clone(),
+            dialect: state.dialect.clone(),
+            turn: AsyncMutex::default(),
             observed: Mutex::default(),
         });
         addresses.retain(|_, known| known.strong_count() > 0);
@@ -189,20 +225,23 @@
         if !self.processes.needs_evidence(pool) {
             return Ok(None);
         }
-        let connector: Arc<dyn Connector> = self.connector.clone();
-        let watch = self.processes.watch(address, &connector);
+        let watch = self.processes.watch(address, self);
         let number = watch.observe().await?;
         Ok(number.map(|number| ProcessEvidence { watch, number }))
     }
 
     /// Records whether an answer had a length or chunks. The first of a pool without them is
     /// observed from its head on: a process that ended before is not started again within
-    /// the moment between the head and this connect.
+    /// the moment between the head and this connect. If this gateway stood still, that
+    /// moment may be long.
     pub(crate) async fn record_framing(&self, pool: &Name, slot: &mut Slot, is_framed: bool) {
         self.processes.record(pool, is_framed);
-        if !is_framed && slot.process.is_none() {
-            let observing = self.observe_process(pool, slot.assignment.address);
-            slot.process = observing.await.unwrap_or_default();
+        if is_framed || slot.process.is_some() {
+            return;
         }
+        let observed = self.observe_process(pool, slot.assignment.address).await;
+        let now = self.now();
+        let has_stood_still = self.standstills.lock().has_stood_still(now, slot.assigned);
+        slot.process = observed.unwrap_or_default().filter(|_| !has_stood_still);
     }
 }
--- a/crates/sequoiawing_gateway/src/quarantine/tests.rs
+++ b/crates/sequoiawing_gateway/src/quarantine/tests.rs
@@ -22,6 +22,8 @@
 
     fn add_attempt_headers(&self, _: &mut HeaderMap, _: &Attempt<'_>) {}
 
+    fn add_liveness_headers(&self, _: &mut HeaderMap) {}
+
     fn classify(&self, _: &RequestMeta, _: &Name, _: StatusCode, _: &HeaderMap) -> ResponseHead {
         ResponseHead {
             kind: ResponseKind::Answer,
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -2,6 +2,7 @@
     Dialect, GatewayExchange, GatewaySettings,
     cluster_view::{ClusterView, DISCONNECTED_AFTER, HubView},
     incarnation::Incarnation,
+    isolation::CHECK_INTERVAL,
     places::Places,
     process_watch::ProcessWatches,
     quarantine::QuarantineState,
@@ -23,7 +24,7 @@
 use sequoiawing_policy::serving::{
     Assignment, AttemptOutcome, Balancer, BalancerRequest, HubRole, HubSelector, HubStatus,
     IsolationDetector, LatenessMeter, PeerView, PickResult, ReportedLoad, RetryWindow,
-    SharedTokenBucket,
+    SharedTokenBucket, Standstills,
 };
 use sequoiawing_runtime::Clock;
 use sequoiawing_telemetry::Meters;
@@ -136,6 +137,8 @@
     pub(crate) places: Places,
     /// The observed processes of upstreams.
     pub(crate) processes: ProcessWatches,
+    /// When this gateway stood still.
+    pub(crate) standstills: Mutex<Standstills>,
     /// The buffered bodies of requests and of upstreams' responses.
     pub(crate) bodies: BodyBuffers,
 }
@@ -187,6 +190,7 @@
             origins: OriginRecords::default(),
             places: Places::default(),
             processes: ProcessWatches::default(),
+            standstills: Mutex::new(Standstills::new(Time::ZERO, CHECK_INTERVAL)),
             bodies,
         }
     }
--- a/crates/sequoiawing_http/src/client.rs
+++ b/crates/sequoiawing_http/src/client.rs
@@ -206,13 +206,8 @@
 
     async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, ClientError> {
         let result = self.connector.connect(address).await;
-        let opened = match result.map_err(|e| ClientError::NotSent(e.to_string()))? {
-            Connection::Direct(stream) => {
-                stream.set_nodelay(true).ok();
-                start(Socket::new(stream)).await
-            }
-            Connection::Tunnel(stream) => start(TunnelSocket::new(stream)).await,
-        };
+        let connection = result.map_err(|e| ClientError::NotSent(e.to_string()))?;
+        let opened = start_connection(connection).await;
         opened.map_err(|e| ClientError::NotSent(e.to_string()))
     }
 
@@ -250,6 +245,18 @@
 }
 
 /// Starts to send requests on a connection.
+pub(crate) async fn start_connection(
+    connection: Connection,
+) -> Result<SendRequest<Body>, hyper::Error> {
+    match connection {
+        Connection::Direct(stream) => {
+            stream.set_nodelay(true).ok();
+            start(Socket::new(stream)).await
+        }
+        Connection::Tunnel(stream) => start(TunnelSocket::new(stream)).await,
+    }
+}
+
 async fn start<S>(socket: S) -> Result<SendRequest<Body>, hyper::Error>
 where
     S: Read + Write + Send + Unpin + 'static,
--- a/crates/sequoiawing_http/src/connector.rs
+++ b/crates/sequoiawing_http/src/connector.rs
@@ -1,4 +1,6 @@
+use crate::{Body, client::start_connection};
 use async_net::TcpStream;
+use hyper::Request;
 use rustix::{
     io::Errno,
     net::{RecvFlags, recv, sockopt::set_socket_linger},
@@ -6,6 +8,10 @@
 use sequoiawing_runtime::timeout;
 use std::{future::Future, io, net::SocketAddr, pin::Pin, time::Duration};
 
+/// How long a response to [`Connection::responds`] may take. A packet that is lost once is
+/// sent again after 200 ms.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// An open connection to a server.
 #[derive(Debug)]
 pub enum Connection {
@@ -25,6 +31,21 @@
         let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
         recv(stream, &mut [0_u8; 1], flags).err() == Some(Errno::AGAIN)
     }
+
+    /// Sends a request and returns whether a response arrived, whatever its status. The
+    /// connection is closed then: the server may send a response twice, and the second one
+    /// would answer a later request.
+    ///
+    /// A response shows that the process which accepted the connection has lived until now.
+    /// That no end of the connection has arrived shows nothing: the packet that tells it may
+    /// be lost.
+    pub async fn responds(self, request: Request<Body>) -> bool {
+        let responded = async {
+            let mut sender = start_connection(self).await?;
+            sender.send_request(request).await
+        };
+        matches!(timeout(RESPONSE_TIMEOUT, responded).await, Some(Ok(_)))
+    }
 }
 
 /// The result of [`Connector::connect`].
--- a/crates/sequoiawing_policy/src/serving/answer_evidence.rs
+++ b/crates/sequoiawing_policy/src/serving/answer_evidence.rs
@@ -3,6 +3,9 @@
 //! The kernel ends the connections of a killed process in order, as a process ends its
 //! own. See [docs/design/answer-ends.md](../../../../../docs/design/answer-ends.md).
 
+use sequoiawing_types::Time;
+use std::time::Duration;
+
 /// The first answers of a pool for which evidence is collected. Each costs a connection; with
 /// 64 the new connections of a small deployment tripled.
 const FIRST_ANSWERS: u32 = 4;
@@ -38,12 +41,53 @@
     }
 }
 
-/// Numbers the processes that listened at an address, as observed by a silent connection
-/// that is replaced from time to time.
+/// How late the timer of [`Standstills`] may fire on a busy machine.
+const TOLERANCE: Duration = Duration::from_millis(200);
+
+/// Remembers when this process last stood still, by the delays of a periodic timer.
+///
+/// What arrives just after that may be as old as the pause.
+#[derive(Clone, Copy, Debug)]
+pub struct Standstills {
+    interval: Duration,
+    last_tick: Time,
+    last_end: Option<Time>,
+}
+
+impl Standstills {
+    /// Starts with a timer that fires each `interval` from `now` on.
+    pub fn new(now: Time, interval: Duration) -> Self {
+        Self {
+            interval,
+            last_tick: now,
+            last_end: None,
+        }
+    }
+
+    /// Records that the timer has fired.
+    pub fn tick(&mut self, now: Time) {
+        if self.is_late(now) {
+            self.last_end = Some(now);
+        }
+        self.last_tick = now;
+    }
+
+    /// Returns whether this process may have stood still between `since` and `now`.
+    pub fn has_stood_still(&self, now: Time, since: Time) -> bool {
+        self.is_late(now) || self.last_end.is_some_and(|end| end >= since)
+    }
+
+    fn is_late(&self, now: Time) -> bool {
+        now.since(self.last_tick) > self.interval + TOLERANCE
+    }
+}
+
+/// Numbers the processes that listened at an address, as observed by a connection that is
+/// replaced from time to time.
 ///
-/// A killed process closes all its connections. Two observations with the same number, with
-/// the connection open at the second, show that one process lived from the first to the
-/// second.
+/// Only the process that accepted a connection answers on it. Two observations with the same
+/// number, with an answer on the connection at the second, show that one process lived from
+/// the first to the second.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ProcessChain {
     number: u64,
@@ -55,11 +99,11 @@
         self.number += 1;
     }
 
-    /// Records that a connection has replaced another one. `is_former_open` is whether the
-    /// former one was still open a while after the new one was opened: the process that
-    /// accepted the new one is then the process of the former one.
-    pub fn replace(&mut self, is_former_open: bool) {
-        self.number += u64::from(!is_former_open);
+    /// Records that a connection has replaced another one. `has_answered` is whether the
+    /// process of the former one answered on it after the new one was opened: that process
+    /// then accepted the new one too.
+    pub fn replace(&mut self, has_answered: bool) {
+        self.number += u64::from(!has_answered);
     }
 
     /// Returns the number of the process.
@@ -68,7 +112,8 @@
     }
 
     /// Returns whether the process with this number is known to have lived until now.
-    pub fn has_lived(&self, number: u64, is_open: bool) -> bool {
-        is_open && self.number == number
+    /// `has_answered` is whether the current process has just answered on its connection.
+    pub fn has_lived(&self, number: u64, has_answered: bool) -> bool {
+        has_answered && self.number == number
     }
 }
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -30,7 +30,7 @@
 mod upstream;
 mod upstream_limit;
 
-pub use answer_evidence::{FramingHistory, ProcessChain};
+pub use answer_evidence::{FramingHistory, ProcessChain, Standstills};
 pub use balancer::{
     Assignment, AttemptOutcome, Balancer, BalancerRequest, PickResult, PlaceCandidate, UpstreamKey,
 };
--- a/tools/soak/src/runner/requests.rs
+++ b/tools/soak/src/runner/requests.rs
@@ -120,6 +120,7 @@
             let status = order(runner, &request.body);
             answer(runner, wire, status, &request, "", None).await?;
         }
+        _ if request.attempt.is_empty() => answer(runner, wire, 400, &request, "", None).await?,
         _ => return run(runner, wire, &request).await,
     }
     Ok(!request.head.closes())
@@ -147,7 +148,7 @@
     let retry_after = retry_after.map(|seconds| seconds.to_string());
     headers.extend(retry_after.as_deref().map(|s| ("Retry-After", s)));
     match status {
-        503 | 421 => headers.push(("Not-Executed", "1")),
+        400 | 421 | 503 => headers.push(("Not-Executed", "1")),
         _ => headers.push(("Server-Seal", SEAL)),
     }
     let mut text = head(&format!("HTTP/1.1 {status} Status"), &headers);
