--- a/crates/sequoiawing_policy/src/serving/loader/engine.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/engine.rs
@@ -34,6 +34,10 @@
 /// The backoff for an engine that did not answer.
 const SILENT_BACKOFF: Duration = Duration::from_secs(1);
 
+/// The cost of an engine that did not report its state or load a model, in seconds: it is
+/// asked again only when all others would take longer.
+const FAILURE_COST: f64 = 5.0;
+
 /// How long after an order announcements may still show the state before it.
 const STALE_ANNOUNCEMENT_TTL: Duration = Duration::from_millis(1_500);
 
@@ -159,6 +163,12 @@
     /// Whether the last order was not answered.
     is_unanswered: bool,
     awaiting_report: bool,
+    /// When the engine was last asked for its state.
+    asked: Time,
+    /// Whether it did not report its state then.
+    is_silent: bool,
+    /// Whether it did not load the model that it was last ordered to load.
+    has_failed: bool,
     backoff_until: Time,
     /// The time until which announcements may show the state before the last
     /// order.
@@ -189,6 +199,9 @@
             reserve: Reserve::default(),
             is_unanswered: false,
             awaiting_report: false,
+            asked: Time::ZERO,
+            is_silent: false,
+            has_failed: false,
             backoff_until: Time::ZERO,
             stale_until: Time::ZERO,
             queued_adapters: VecDeque::new(),
@@ -236,6 +249,7 @@
 
     fn finish(&mut self, now: Time) {
         if let Some(job) = self.job.take() {
+            self.has_failed = false;
             self.held.insert(job.model, now);
             self.stale_until = now + STALE_ANNOUNCEMENT_TTL;
         }
@@ -251,11 +265,12 @@
         self.job.is_none() && self.is_serving() && now >= self.backoff_until
     }
 
-    /// Returns whether the last order was not sent or not answered. It may be carried out
-    /// later.
+    /// Returns whether the engine leaves an order or the request for its state unanswered. It
+    /// may carry an order out later.
     pub(super) fn is_stalled(&self, now: Time) -> bool {
         let is_late = self.pending.is_some() && now >= self.last_order.sent + ORDER_PATIENCE;
-        is_late || self.is_unanswered
+        let reports_late = self.awaiting_report && now >= self.asked + ORDER_PATIENCE;
+        is_late || reports_late || self.is_unanswered || self.is_silent
     }
 
     /// Returns the order whose reply is due.
@@ -278,6 +293,13 @@
         if now < self.stale_until { 0.1 } else { 0.0 }
     }
 
+    /// Returns the cost of choosing an engine that did not do what it was last asked for, in
+    /// seconds.
+    pub(super) fn failure_cost(&self) -> f64 {
+        let has_failed = self.is_silent || self.has_failed;
+        if has_failed { FAILURE_COST } else { 0.0 }
+    }
+
     /// Returns the cost of choosing an engine that is cold, in seconds.
     pub(super) fn cold_cost(&self, now: Time) -> f64 {
         self.cold_until.since(now).as_secs_f64()
@@ -466,8 +488,11 @@
     /// Applies a report of the engine's state.
     pub(super) fn on_report(&mut self, now: Time, report: Option<EngineReport>) {
         self.awaiting_report = false;
+        self.is_silent = report.is_none();
         let Some(report) = report else {
             self.backoff_until = now + SILENT_BACKOFF;
+            // Another engine may take the load, unless this one may be executing it.
+            self.job.take_if(|job| !job.is_loading());
             return;
         };
         self.accepted = Some(report.accepted);
@@ -499,8 +524,14 @@
             self.finish(now);
             return;
         }
+        if job.is_loading() && !report.busy {
+            // The engine took the order and has not carried it out.
+            self.has_failed = true;
+            self.back_off(now + SILENT_BACKOFF);
+            return;
+        }
         job.phase = match job.phase {
-            JobPhase::Loading { .. } if report.busy => JobPhase::Loading { ready: now },
+            JobPhase::Loading { .. } => JobPhase::Loading { ready: now },
             _ if !job.evict.is_empty() => JobPhase::Evict,
             _ => JobPhase::Load,
         };
@@ -525,7 +556,7 @@
         {
             // The engine would refuse other orders as busy.
             if now >= *ready + VERIFY_DELAY {
-                self.request_report(name, out);
+                self.request_report(now, name, out);
             }
             return;
         }
@@ -534,7 +565,7 @@
             return;
         };
         let Some(expected) = self.accepted else {
-            self.request_report(name, out);
+            self.request_report(now, name, out);
             return;
         };
         let memory = match &kind {
@@ -555,8 +586,9 @@
         });
     }
 
-    fn request_report(&mut self, name: &Name, out: &mut Vec<LoaderAction>) {
+    fn request_report(&mut self, now: Time, name: &Name, out: &mut Vec<LoaderAction>) {
         self.awaiting_report = true;
+        self.asked = now;
         out.push(LoaderAction::QueryState(name.clone()));
     }
 
