--- a/tests/requests/odd_answers.rs
+++ b/tests/requests/odd_answers.rs
@@ -6,6 +6,7 @@
     fleet::{Fleet, Setup, short_stall},
     scripted::{Kind, Received, Scripted, Step},
 };
+use sequoiawing::runtime::sleep;
 use std::time::Duration;
 
 /// The times between an early answer and the reset of its connection, in milliseconds.
@@ -104,6 +105,42 @@
     );
 }
 
+/// Asserts that each attempt of a call takes only so much of a body without end while the
+/// caller does not read.
+async fn assert_body_is_bounded(path: &str, headers: &'static str, part: &'static str) {
+    let fleet = start().await;
+    let script = move |received: &Received| {
+        let head = begin(received, "200 OK", headers);
+        vec![
+            Step::Write(format!("{head}\r\n")),
+            Step::Repeat(part.repeat(1024), ENDLESS_BYTES),
+            Step::Pause(Duration::from_secs(5)),
+        ]
+    };
+    let is_stream = path == "/resumed";
+    let kind = if is_stream {
+        Kind::Engine
+    } else {
+        Kind::Service
+    };
+    let scripted = Scripted::start(&fleet, kind, 1, script).await;
+    let call = if is_stream {
+        fleet.completion(path, 6)
+    } else {
+        fleet.call(path)
+    };
+    let call = call.with_header("sequoiawing-deadline-ms", "2000");
+    let answered = call.begin().await;
+    sleep(Duration::from_secs(1)).await;
+    // The call may be repeated.
+    let taken = scripted.repeated() / scripted.received().len().max(1);
+    assert!(taken > 0, "no upstream was called: {answered:?}");
+    assert!(
+        taken < MAX_TAKEN,
+        "{taken} bytes of the answer were taken in: {answered:?}"
+    );
+}
+
 cases! {
     // Guard against an answer with a status that is none, which its caller takes for the
     // upstream's.
@@ -136,5 +173,20 @@
         assert_not_taken_in(head, "zzzz").await;
     }
     a_status_line_without_end { assert_not_taken_in("HTTP/1.1 200 ", "OK").await; }
+    // Guard against a router that keeps all bytes of a body without end.
+    a_body_without_end { assert_body_is_bounded("/grant", "", "aaaa").await; }
+    a_repeatable_body_without_end { assert_body_is_bounded("/look", "", "aaaa").await; }
+    chunks_without_end {
+        let headers = "transfer-encoding: chunked\r\n";
+        assert_body_is_bounded("/grant", headers, "4\r\naaaa\r\n").await;
+    }
+    small_chunks_without_end {
+        let headers = "transfer-encoding: chunked\r\n";
+        assert_body_is_bounded("/grant", headers, "1\r\na\r\n").await;
+    }
+    an_event_without_end {
+        let headers = "content-type: text/event-stream\r\n";
+        assert_body_is_bounded("/resumed", headers, "data").await;
+    }
     bytes_of_no_protocol_without_end { assert_not_taken_in("", "\u{1}").await; }
 }
