--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -69,7 +69,7 @@
 
 impl BalancerRequest {
     /// Returns a number from 0 to 1 that is always the same for an upstream.
-    fn draw(&self, upstream: &Name) -> f64 {
+    pub(super) fn draw(&self, upstream: &Name) -> f64 {
         let mut hasher = DefaultHasher::new();
         (self.seed, upstream).hash(&mut hasher);
         let bits = u32::try_from(hasher.finish() >> 32).unwrap_or_default();
@@ -176,7 +176,7 @@
     /// Pairs of an upstream and a model that it was ordered to unload.
     evicted: HashSet<(Name, Name)>,
     /// The number of hosts that send requests.
-    hosts: u32,
+    pub(super) hosts: u32,
     backoffs: RequestedBackoffs,
     /// The upstreams that said in an answer that they leave, with their epochs. They are
     /// kept beyond their entries, which may flap.
@@ -188,6 +188,8 @@
     /// The requests per second that a cold upstream of each pool takes.
     pub(super) cold_rates: HashMap<Name, RequestRate>,
     pub(super) cold_counts: ColdCounts,
+    /// The least tolerance that removed upstreams of a pool named.
+    pub(super) former_tolerances: HashMap<Name, RequestRate>,
 }
 
 impl Balancer {
@@ -243,6 +245,7 @@
             return;
         };
         self.names.remove(&upstream.state.name);
+        self.remember_tolerance(&upstream);
         if let Some(keys) = self.pools.get_mut(&upstream.state.pool) {
             keys.retain(|k| *k != key);
         }
@@ -426,7 +429,7 @@
         }
         let mut ranked = self.rank(now, request, &candidates);
         ranked.sort_by(|(cost, _), (other, _)| cost.total_cmp(other));
-        let pool_tolerance = self.least_tolerance(keys);
+        let pool_tolerance = self.pool_tolerance(&request.pool);
         let mut limited = None;
         let mut brittle = Vec::new();
         let mut best = None;
@@ -468,55 +471,14 @@
         }
     }
 
-    /// Assigns a request to a brittle upstream at which it has a place; returns `None` if
-    /// that start of the upstream is gone, leaves or wants no requests.
-    pub fn assign_place(
-        &mut self,
-        now: Time,
-        request: &BalancerRequest,
-        candidate: &PlaceCandidate,
-    ) -> Option<Assignment> {
-        let key = *self.names.get(&candidate.name)?;
-        let state = &self.upstreams[key].state;
-        let is_open = !self.is_closed(now, &state.centre);
-        let is_usable = is_open && state.epoch == candidate.epoch && !self.is_leaving(state);
-        if !is_usable || self.due(now, request, &candidate.name).is_some() {
-            return None;
-        }
-        let draw = request.draw(&candidate.name);
-        let limit = &mut self.upstreams[key].limit;
-        // The last token may have been used while the place was asked for.
-        if limit.cold().needs_token(now, draw) && !limit.permits(now, self.hosts, draw) {
-            return None;
-        }
-        match self.assign(now, key, request) {
-            PickResult::Assigned(assignment) => Some(assignment),
-            _ => None,
-        }
-    }
-
-    /// Assigns a request to a brittle upstream while the keeper of places is out of reach:
-    /// each host uses its part of the slots.
-    pub fn assign_alone(
-        &mut self,
-        now: Time,
-        request: &BalancerRequest,
-        candidates: &[PlaceCandidate],
-    ) -> Option<Assignment> {
-        let hosts = f64::from(self.hosts.max(1));
-        let has_part = |candidate: &&PlaceCandidate| {
-            let key = self.names.get(&candidate.name);
-            let open = key.map_or(u32::MAX, |key| self.upstreams[*key].open);
-            let part = f64::from(candidate.slots) / hosts - f64::from(open);
-            request.draw(&candidate.name) < part
-        };
-        let candidate = candidates.iter().find(has_part)?.clone();
-        self.assign_place(now, request, &candidate)
-    }
-
     /// Returns when a request may be sent to an upstream that asked for a backoff; `None`
     /// if it may now.
-    fn due(&self, now: Time, request: &BalancerRequest, upstream: &Name) -> Option<Time> {
+    pub(super) fn due(
+        &self,
+        now: Time,
+        request: &BalancerRequest,
+        upstream: &Name,
+    ) -> Option<Time> {
         self.backoffs.due(now, upstream, request.draw(upstream))
     }
 
@@ -545,12 +507,6 @@
         ranked.collect()
     }
 
-    /// Returns the least tolerance that upstreams of a pool name.
-    fn least_tolerance(&self, keys: &[UpstreamKey]) -> Option<RequestRate> {
-        let upstreams = keys.iter().map(|key| &self.upstreams[*key]);
-        upstreams.filter_map(|u| u.tolerance.rate()).min()
-    }
-
     /// Estimates the time to first token, as the number of prompt tokens that could be
     /// prefilled meanwhile. `expected` is the number of prompt tokens that the upstream
     /// can be expected to have cached for requests of other hosts.
@@ -585,7 +541,12 @@
         used.all(|upstream| upstream.is_silent)
     }
 
-    fn assign(&mut self, now: Time, key: UpstreamKey, request: &BalancerRequest) -> PickResult {
+    pub(super) fn assign(
+        &mut self,
+        now: Time,
+        key: UpstreamKey,
+        request: &BalancerRequest,
+    ) -> PickResult {
         let upstream = &mut self.upstreams[key];
         let Some(address) = upstream.state.address else {
             return PickResult::NoUpstream;
@@ -652,23 +613,6 @@
         reports.collect()
     }
 
-    /// Applies the tolerance named in an answer to a request that was sent at `sent`;
-    /// returns whether it changed.
-    pub fn observe_tolerance(
-        &mut self,
-        now: Time,
-        key: UpstreamKey,
-        sent: Time,
-        tolerance: Option<RequestRate>,
-    ) -> bool {
-        let Some(upstream) = self.upstreams.get_mut(key) else {
-            return false;
-        };
-        let former = upstream.tolerance.rate();
-        upstream.tolerance.observe(now, sent, tolerance);
-        upstream.tolerance.rate() != former
-    }
-
     /// Records that a start of an upstream said that it leaves; returns whether that is
     /// news.
     pub fn record_departure(&mut self, upstream: &Name, epoch: u64) -> bool {
@@ -685,7 +629,7 @@
         self.departures.get(upstream) == Some(&epoch)
     }
 
-    fn is_leaving(&self, state: &UpstreamState) -> bool {
+    pub(super) fn is_leaving(&self, state: &UpstreamState) -> bool {
         state.leaving || self.has_departed(&state.name, state.epoch)
     }
 
--- a/crates/sequoiawing_policy/src/serving/brittle/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/brittle/mod.rs
@@ -4,6 +4,7 @@
 //! only with a place, which the leader's hub gives out for all hosts. See
 //! [docs/design/brittle-upstreams.md](../../../../../docs/design/brittle-upstreams.md).
 
+mod balance;
 mod place_holder;
 mod place_keeper;
 mod recent_count;
--- a/crates/sequoiawing_policy/tests/balancer.rs
+++ b/crates/sequoiawing_policy/tests/balancer.rs
@@ -431,10 +431,8 @@
     assert_ne!(first.name, second.name);
 }
 
-// Guards against brittle upstreams that all start anew at once and fall over again, since
-// nobody knows yet that they are brittle.
-#[test]
-fn brittle_upstreams_that_all_start_anew_still_need_places() {
+/// Returns a balancer whose upstreams start anew after one of them was brittle.
+fn restarted_after_brittle() -> Balancer {
     let mut balancer = balancer(vec![upstream("a", &["m"]), upstream("b", &["n"])]);
     name_tolerance(&mut balancer, "a", "m", Some(5.0));
     for (name, model) in [("a", "m"), ("b", "n")] {
@@ -444,6 +442,31 @@
         };
         balancer.update(&listed(state, false));
     }
+    balancer
+}
+
+// Guards against brittle upstreams that all start anew at once and fall over again, since
+// nobody knows yet that they are brittle.
+#[test]
+fn brittle_upstreams_that_all_start_anew_still_need_places() {
+    let mut balancer = restarted_after_brittle();
     let pick = balancer.pick(Time::ZERO, &request("m"));
     assert_eq!(describe(&pick), "needs a place");
 }
+
+// Guards against places for upstreams whose next starts are sound.
+#[test]
+fn upstreams_whose_next_start_is_sound_need_no_places() {
+    let mut balancer = restarted_after_brittle();
+    let PickResult::NeedsPlace(candidates) = balancer.pick(Time::ZERO, &request("m")) else {
+        panic!("no place is needed");
+    };
+    let placed = balancer.assign_place(Time::ZERO, &request("m"), &candidates[0]);
+    let key = placed.expect("the upstream is there").key;
+    balancer.observe_tolerance(Time::ZERO, key, Time::ZERO, None);
+    balancer.end(Time::ZERO, key, AttemptOutcome::Succeeded);
+    for model in ["m", "n"] {
+        let pick = balancer.pick(Time::ZERO, &request(model));
+        assert!(matches!(pick, PickResult::Assigned(_)), "{pick:?}");
+    }
+}
