--- a/crates/sequoiawing_policy/src/serving/shared_bucket.rs
+++ b/crates/sequoiawing_policy/src/serving/shared_bucket.rs
@@ -149,7 +149,8 @@
     ///
     /// If much of the burst is left, any positive credit admits a request of any size, and
     /// the bucket goes into debt for the rest. Otherwise small requests would use up the
-    /// credit that a large one waits for. If little is left, see [`Self::needed`].
+    /// credit that a large one waits for. If little is left, a drawn part of the mean cost
+    /// must be available.
     ///
     /// # Errors
     ///
