--- a/crates/sequoiawing_policy/src/serving/loader/engine.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/engine.rs
@@ -38,6 +38,9 @@
 /// asked again only when all others would take longer.
 const FAILURE_COST: f64 = 5.0;
 
+/// How long that cost counts. An engine may have been out of reach for a moment.
+const FAILURE_TTL: Duration = Duration::from_secs(5);
+
 /// How long after an order announcements may still show the state before it.
 const STALE_ANNOUNCEMENT_TTL: Duration = Duration::from_millis(1_500);
 
@@ -167,8 +170,8 @@
     asked: Time,
     /// Whether it did not report its state then.
     is_silent: bool,
-    /// Whether it did not load the model that it was last ordered to load.
-    has_failed: bool,
+    /// Until when it counts as one that does not do what it is asked for.
+    failing_until: Time,
     backoff_until: Time,
     /// The time until which announcements may show the state before the last
     /// order.
@@ -201,7 +204,7 @@
             awaiting_report: false,
             asked: Time::ZERO,
             is_silent: false,
-            has_failed: false,
+            failing_until: Time::ZERO,
             backoff_until: Time::ZERO,
             stale_until: Time::ZERO,
             queued_adapters: VecDeque::new(),
@@ -249,7 +252,7 @@
 
     fn finish(&mut self, now: Time) {
         if let Some(job) = self.job.take() {
-            self.has_failed = false;
+            self.failing_until = Time::ZERO;
             self.held.insert(job.model, now);
             self.stale_until = now + STALE_ANNOUNCEMENT_TTL;
         }
@@ -293,11 +296,20 @@
         if now < self.stale_until { 0.1 } else { 0.0 }
     }
 
-    /// Returns the cost of choosing an engine that did not do what it was last asked for, in
+    /// Returns the cost of choosing an engine that has just not done what it was asked for, in
     /// seconds.
-    pub(super) fn failure_cost(&self) -> f64 {
-        let has_failed = self.is_silent || self.has_failed;
-        if has_failed { FAILURE_COST } else { 0.0 }
+    pub(super) fn failure_cost(&self, now: Time) -> f64 {
+        if now < self.failing_until {
+            FAILURE_COST
+        } else {
+            0.0
+        }
+    }
+
+    /// Gives the load up and backs off, so that other engines are asked first.
+    fn record_failure(&mut self, now: Time) {
+        self.failing_until = now + FAILURE_TTL;
+        self.back_off(now + SILENT_BACKOFF);
     }
 
     /// Returns the cost of choosing an engine that is cold, in seconds.
@@ -490,9 +502,10 @@
         self.awaiting_report = false;
         self.is_silent = report.is_none();
         let Some(report) = report else {
-            self.backoff_until = now + SILENT_BACKOFF;
-            // Another engine may take the load, unless this one may be executing it.
-            self.job.take_if(|job| !job.is_loading());
+            // It may be executing a load.
+            let loading = self.job.take_if(|job| job.is_loading());
+            self.record_failure(now);
+            self.job = loading;
             return;
         };
         self.accepted = Some(report.accepted);
@@ -526,8 +539,7 @@
         }
         if job.is_loading() && !report.busy {
             // The engine took the order and has not carried it out.
-            self.has_failed = true;
-            self.back_off(now + SILENT_BACKOFF);
+            self.record_failure(now);
             return;
         }
         job.phase = match job.phase {
--- a/crates/sequoiawing_policy/src/serving/loader/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/mod.rs
@@ -531,7 +531,7 @@
             }
             let seconds = load_time(model, source).as_secs_f64();
             let delay =
-                engine.recent_order_cost(now) + engine.cold_cost(now) + engine.failure_cost();
+                engine.recent_order_cost(now) + engine.cold_cost(now) + engine.failure_cost(now);
             let cost = seconds + victims.value + delay;
             if best.as_ref().is_none_or(|b| cost < b.0) {
                 best = Some((cost, name.clone(), source, victims.models));
