--- a/review/lib-3/adapters.rs
+++ b/review/lib-3/adapters.rs
@@ -75,6 +75,7 @@
             path: PATH,
             key: KEY,
             model: &model,
+            tokens: "",
             deadline_ms: 13_000,
             body,
         };
@@ -94,6 +95,7 @@
             path: PATH,
             key: KEY,
             model: &model,
+            tokens: "",
             deadline_ms: 13_000,
             body: "18 500",
         };
@@ -117,6 +119,7 @@
             path: PATH,
             key: KEY,
             model: &model,
+            tokens: "",
             deadline_ms: 13_000,
             body: "2 10",
         };
--- a/review/lib-3/client.rs
+++ b/review/lib-3/client.rs
@@ -25,6 +25,8 @@
     pub key: &'a str,
     /// The model, and its adapter behind a slash; empty for a plain service.
     pub model: &'a str,
+    /// The `Token-Counts` of a request to a plain service; none if empty.
+    pub tokens: &'a str,
     pub deadline_ms: u64,
     pub body: &'a str,
 }
@@ -47,6 +49,8 @@
             headers.push(("Model", self.model));
             headers.push(("Token-Counts", "646,80"));
             headers.push(("Prompt-Prefix", prefix.as_str()));
+        } else if !self.tokens.is_empty() {
+            headers.push(("Token-Counts", self.tokens));
         }
         let path = format!("{}{number}", self.path);
         let bytes = request("POST", &path, &headers, self.body.as_bytes());
--- a/review/lib-3/first_version.rs
+++ b/review/lib-3/first_version.rs
@@ -58,6 +58,7 @@
             path: PATH,
             key: KEY,
             model: "",
+            tokens: "",
             deadline_ms: 4_000,
             body: "{}",
         };
