--- a/review/lib-3/main.rs
+++ b/review/lib-3/main.rs
@@ -8,7 +8,6 @@
 mod net;
 mod odd_heartbeat;
 mod plain;
-mod quota;
 mod record;
 mod take_up;
 
@@ -41,7 +40,6 @@
         "adapters" => adapters::run(&record, has_trouble),
         "first_version" => first_version::run(&record, has_trouble),
         "odd_heartbeat" => odd_heartbeat::run(&record, has_trouble),
-        "quota" => quota::run(&record, has_trouble),
         "take_up" => take_up::run(&record, has_trouble),
         _ => Verdict::NotRun,
     };
