--- a/review/lib-3/adapters.rs
+++ b/review/lib-3/adapters.rs
@@ -59,6 +59,7 @@
         model: Some(MODEL.to_owned()),
         adapter_slots: SLOTS,
         id_step: 1,
+        idle: None,
         controls: deployment.controls(),
     };
     let engine = Engine::start(settings, record);
--- a/review/lib-3/engine.rs
+++ b/review/lib-3/engine.rs
@@ -63,6 +63,8 @@
     pub adapter_slots: usize,
     /// How far the ids of two events of a stream lie apart. They increase.
     pub id_step: u64,
+    /// How long a connection may be idle before the runner closes it.
+    pub idle: Option<Duration>,
     pub controls: Vec<SocketAddr>,
 }
 
@@ -73,6 +75,9 @@
     born: u128,
     state: Mutex<State>,
     heartbeats: AtomicU64,
+    /// Of so many answers one ends with its connection, without a length; 0 for none.
+    unframed: AtomicU64,
+    answers: AtomicU64,
 }
 
 impl Engine {
@@ -99,6 +104,8 @@
             record: record.clone(),
             born: since.expect("a time after 1970").as_millis(),
             heartbeats: AtomicU64::new(0),
+            unframed: AtomicU64::new(0),
+            answers: AtomicU64::new(0),
         });
         engine.note();
         let accepting = engine.clone();
@@ -121,6 +128,11 @@
         engine
     }
 
+    /// Lets one of so many answers end with its connection from now on.
+    pub fn leave_out_lengths(&self, one_of: u64) {
+        self.unframed.store(one_of, Ordering::Relaxed);
+    }
+
     pub fn has_crashed(&self) -> bool {
         self.state.lock().expect("the state is sound").is_crashed
     }
@@ -248,6 +260,7 @@
 
     fn serve(self: &Arc<Self>, stream: TcpStream) {
         stream.set_nodelay(true).ok();
+        stream.set_read_timeout(self.settings.idle).ok();
         let Ok(mut writer) = stream.try_clone() else {
             return;
         };
@@ -263,9 +276,11 @@
             }
             let body = String::from_utf8_lossy(&body).into_owned();
             if !self.handle(&head, &body, &mut writer) {
-                return;
+                break;
             }
         }
+        // A clone of the stream is kept for crashes, so that it does not close by itself.
+        writer.shutdown(Shutdown::Both).ok();
     }
 
     /// Answers a request; returns whether the connection is kept.
@@ -471,12 +486,13 @@
             self.settings.id,
             head.path()
         ));
-        let is_whole = if self.settings.model.is_some() {
+        let (is_whole, is_kept) = if self.settings.model.is_some() {
             let last: Option<u64> = head.get("last-event-id").and_then(|v| v.parse().ok());
             self.stream(&id, body, last.unwrap_or_default(), writer)
         } else {
             let seal = "Server-Seal: 3e1b.07\r\n";
-            self.answer(head, writer, 200, seal, "{\"done\":true}")
+            let is_whole = self.answer(head, writer, 200, seal, "{\"done\":true}");
+            (is_whole, is_whole)
         };
         self.record.line(&format!(
             "runner {}: ended {id}, {}",
@@ -495,34 +511,55 @@
         }
         drop(state);
         self.note();
-        is_whole
+        is_kept
     }
 
     /// Streams the events behind the one with the id `last`.
-    fn stream(&self, id: &str, body: &str, last: u64, writer: &mut TcpStream) -> bool {
+    /// Returns whether all were sent, and whether the connection is kept.
+    fn stream(&self, id: &str, body: &str, last: u64, writer: &mut TcpStream) -> (bool, bool) {
         let mut words = body.split(' ').map(|word| word.trim().parse::<u64>());
         let events = words.next().and_then(Result::ok).unwrap_or(1);
         let gap = words.next().and_then(Result::ok).unwrap_or(10);
+        let answer = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
+        let one_of = self.unframed.load(Ordering::Relaxed);
+        let has_length = one_of == 0 || answer % one_of != 0;
+        let framing = if has_length {
+            "Transfer-Encoding: chunked\r\n"
+        } else {
+            self.record.line(&format!(
+                "runner {}: answers {id} without a length",
+                self.settings.id
+            ));
+            ""
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nInstance-Id: {}\r\nServer-Seal: 3e1b.07\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+             Content-Type: text/event-stream\r\n{framing}\r\n",
             self.settings.id
         );
         if writer.write_all(head.as_bytes()).is_err() {
-            return false;
+            return (false, false);
         }
         let step = self.settings.id_step;
         for number in last / step + 1..=events {
             let event = format!("id: {}\ndata: part {number} of {events}\n\n", number * step);
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            if self.has_crashed() || writer.write_all(chunk.as_bytes()).is_err() {
-                return false;
+            let bytes = if has_length {
+                format!("{:x}\r\n{event}\r\n", event.len())
+            } else {
+                event
+            };
+            if self.has_crashed() || writer.write_all(bytes.as_bytes()).is_err() {
+                return (false, false);
             }
             if number < events {
                 sleep(Duration::from_millis(gap));
             }
         }
-        !self.has_crashed() && writer.write_all(b"0\r\n\r\n").is_ok()
+        if !has_length {
+            return (!self.has_crashed(), false);
+        }
+        let is_whole = !self.has_crashed() && writer.write_all(b"0\r\n\r\n").is_ok();
+        (is_whole, is_whole)
     }
 }
 
--- a/review/lib-3/first_version.rs
+++ b/review/lib-3/first_version.rs
@@ -35,6 +35,7 @@
         model: None,
         adapter_slots: 0,
         id_step: 1,
+        idle: None,
         controls: deployment.controls(),
     };
     let _engine = Engine::start(settings, record);
--- a/review/lib-3/main.rs
+++ b/review/lib-3/main.rs
@@ -6,9 +6,11 @@
 mod engine;
 mod first_version;
 mod net;
+mod no_length;
 mod odd_heartbeat;
 mod plain;
 mod record;
+mod streams;
 mod take_up;
 
 use std::{path::Path, process::ExitCode, time::Duration};
@@ -39,6 +41,7 @@
     let verdict = match case.as_str() {
         "adapters" => adapters::run(&record, has_trouble),
         "first_version" => first_version::run(&record, has_trouble),
+        "no_length" => no_length::run(&record, has_trouble),
         "odd_heartbeat" => odd_heartbeat::run(&record, has_trouble),
         "take_up" => take_up::run(&record, has_trouble),
         _ => Verdict::NotRun,
