Review case 15: exit with 2 where nobody answers the reads

Cause: with all processes of a run stopped, case 15 took reads without an answer for a lost configuration and exited with 1. Nothing could be judged there.

Change: the script exits with 2 unless all twelve reads are answered.

--- a/review/lib-3/first_version.rs
+++ b/review/lib-3/first_version.rs
@@ -42,12 +42,14 @@
     // Longer than `contact_ms`, `ack_ms` and `recover_s`.
     sleep(Duration::from_secs(13));
     let mut read = 0;
+    let mut answered = 0;
     for round in 0..12 {
         let to = deployment.control(round % 3);
         let answer = deployment.operate(to, "GET", "/Config.Read", "");
         let shown = String::from_utf8_lossy(&answer.body).into_owned();
         let is_sent = answer.status == 200 && shown.contains(&format!("\"version\":{version},"));
         read += usize::from(is_sent);
+        answered += usize::from(answer.status != 0);
         record.line(&format!("operator: read at {to}: status {}", answer.status));
         sleep(Duration::from_millis(300));
     }
@@ -69,6 +71,10 @@
         "the acknowledged configuration was read back {read} times of 12; {served} of 10 \
          requests were served"
     ));
+    if answered < 12 {
+        record.line(&format!("only {answered} of 12 reads were answered"));
+        return Verdict::NotRun;
+    }
     if read == 0 {
         record.line("CONFIG: read back, the acknowledged configuration doesn't come");
         return Verdict::Broken;
