Pass on events whose IDs increase, not only consecutive ones

Cause: the interface promises increasing IDs. The gateway asked for `last + 1` behind a caller's ID, behind a single event, and for ever once the first two IDs were consecutive; second runners were checked in the same way, and routers asked for it behind a resumption.

Change: an ID that is not larger is refused as before.

--- a/crates/sequoiawing_gateway/src/hedge.rs
+++ b/crates/sequoiawing_gateway/src/hedge.rs
@@ -273,7 +273,9 @@
         response @ UpstreamResponse::Buffered(..) => return Ok(response),
     };
     let last_event_id = last_event_id.or(exchange.meta.last_event_id);
-    match timeout(MAX_OVERLAP, source.stream.read_ahead(last_event_id)).await {
+    let steps = state.event_numbering(&exchange.pool, &source.slot.assignment);
+    let read_ahead = source.stream.read_ahead(last_event_id, steps);
+    match timeout(MAX_OVERLAP, read_ahead).await {
         Some(Err(cause)) => {
             state.record_broken_answer(exchange, &source.slot);
             source.slot.release(AttemptOutcome::Aborted);
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod daemon;
 mod dialect;
 mod evacuation;
+mod event_numberings;
 mod exchange;
 mod filters;
 mod hedge;
--- a/crates/sequoiawing_gateway/src/relay.rs
+++ b/crates/sequoiawing_gateway/src/relay.rs
@@ -51,7 +51,8 @@
     let (mut parts, source) = response;
     remove_hop_headers(&mut parts.headers);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
-    let position = StreamPosition::new(exchange.meta.last_event_id);
+    let steps = state.event_numbering(&exchange.pool, &source.slot.assignment);
+    let position = StreamPosition::new(exchange.meta.last_event_id, steps);
     let relay = StreamRelay {
         state,
         exchange: Arc::new(exchange),
--- a/crates/sequoiawing_gateway/src/source.rs
+++ b/crates/sequoiawing_gateway/src/source.rs
@@ -1,4 +1,7 @@
-use crate::{GatewayState, response_body::EventRoom, slots::Slot, stream_position::StreamPosition};
+use crate::{
+    GatewayState, event_numberings::SharedNumbering, response_body::EventRoom, slots::Slot,
+    stream_position::StreamPosition,
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use sequoiawing_http::{BodyBudget, BodyError, BodyFraming, BodyParts, ClientBody};
@@ -91,8 +94,12 @@
     ///
     /// Returns why the stream broke off, that it ended without an event, or why its event
     /// may not be passed on.
-    pub(crate) async fn read_ahead(&mut self, last_event_id: Option<u64>) -> Result<(), String> {
-        let mut position = StreamPosition::new(last_event_id);
+    pub(crate) async fn read_ahead(
+        &mut self,
+        last_event_id: Option<u64>,
+        steps: SharedNumbering,
+    ) -> Result<(), String> {
+        let mut position = StreamPosition::new(last_event_id, steps);
         position.begin_part();
         while let Some(part) = self.receive().await {
             let part = part.map_err(|error| error.to_string())?;
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -1,6 +1,7 @@
 use crate::{
     Dialect, GatewayExchange, GatewaySettings,
     cluster_view::{ClusterView, DISCONNECTED_AFTER, HubView},
+    event_numberings::EventNumberings,
     incarnation::Incarnation,
     isolation::CHECK_INTERVAL,
     places::Places,
@@ -133,6 +134,7 @@
     pub(crate) isolation: Mutex<IsolationDetector>,
     pub(crate) quarantine: QuarantineState,
     pub(crate) origins: OriginRecords,
+    pub(crate) event_numberings: EventNumberings,
     /// The places at brittle upstreams.
     pub(crate) places: Places,
     /// The observed processes of upstreams.
@@ -188,6 +190,7 @@
             isolation: Mutex::default(),
             quarantine: QuarantineState::new(rand::random()),
             origins: OriginRecords::default(),
+            event_numberings: EventNumberings::default(),
             places: Places::default(),
             processes: ProcessWatches::default(),
             standstills: Mutex::new(Standstills::new(Time::ZERO, CHECK_INTERVAL)),
--- a/crates/sequoiawing_gateway/src/stream_position.rs
+++ b/crates/sequoiawing_gateway/src/stream_position.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::event_numberings::SharedNumbering;
 use bytes::Bytes;
 use sequoiawing_http::{EventId, EventTooLong, SseEvent, SseSplitter, complete_events};
 use thiserror::Error;
@@ -13,7 +14,7 @@
     /// It is too long.
     #[error(transparent)]
     TooLong(#[from] EventTooLong),
-    /// It does not follow the last.
+    /// It comes before the last, or so far behind it that an event may be missing.
     #[error("event {id} came behind event {last}")]
     OutOfOrder {
         /// The ID of the last event that was passed on.
@@ -40,41 +41,13 @@
     NoEvent,
 }
 
-/// The distance between the IDs of two events. IDs increase, and usually by one; where
-/// the first two of a stream lie further apart, a gap does not show a lost event.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Spacing {
-    /// The stream has one event so far.
-    Unknown,
-    Consecutive,
-    Sparse,
-}
-
-impl Spacing {
-    fn allows(self, last: u64, id: u64) -> bool {
-        let is_next = last.checked_add(1) == Some(id);
-        match self {
-            Self::Consecutive => is_next,
-            Self::Unknown | Self::Sparse => id > last,
-        }
-    }
-
-    fn behind(self, last: u64, id: u64) -> Self {
-        match self {
-            Self::Unknown if last.checked_add(1) == Some(id) => Self::Consecutive,
-            Self::Unknown => Self::Sparse,
-            known => known,
-        }
-    }
-}
-
 /// How the events of a stream are numbered.
 #[derive(Clone, Copy, Debug)]
 enum Numbering {
     /// No event is known.
     Unknown,
     /// The caller has the events up to the ID `last`.
-    Numeric { last: u64, spacing: Spacing },
+    Numeric { last: u64 },
     /// The IDs are no numbers, so that the stream cannot be resumed.
     Absent,
 }
@@ -87,6 +60,8 @@
 pub(crate) struct StreamPosition {
     splitter: SseSplitter,
     numbering: Numbering,
+    /// What the streams of the same upstreams have shown.
+    steps: SharedNumbering,
     /// The number of events that were passed on.
     count: u64,
     /// The number of events of the current upstream.
@@ -101,14 +76,12 @@
 
 impl StreamPosition {
     /// Creates the position of a caller that has the events up to `last_event_id`, if
-    /// any.
-    pub(crate) fn new(last_event_id: Option<u64>) -> Self {
+    /// any, in a stream of upstreams that number events like `steps`.
+    pub(crate) fn new(last_event_id: Option<u64>, steps: SharedNumbering) -> Self {
         Self {
             splitter: SseSplitter::default(),
-            numbering: last_event_id.map_or(Numbering::Unknown, |last| Numbering::Numeric {
-                last,
-                spacing: Spacing::Consecutive,
-            }),
+            numbering: last_event_id.map_or(Numbering::Unknown, |last| Numbering::Numeric { last }),
+            steps,
             count: 0,
             part_count: 0,
             first_id: None,
@@ -156,22 +129,23 @@
         }
         let id = event.id();
         match (self.numbering, id) {
-            (Numbering::Numeric { last, spacing }, EventId::Number(id)) => {
-                if !spacing.allows(last, id) {
+            (Numbering::Numeric { last }, EventId::Number(id)) => {
+                let mut steps = self.steps.lock();
+                if !steps.accepts(last, id) {
                     return Err(EventError::OutOfOrder { last, id });
                 }
-                let spacing = spacing.behind(last, id);
-                self.numbering = Numbering::Numeric { last: id, spacing };
+                if self.first_id.is_some() {
+                    steps.learn(last, id);
+                }
+                drop(steps);
+                self.numbering = Numbering::Numeric { last: id };
                 self.first_id = self.first_id.or(Some(id));
             }
-            (Numbering::Numeric { last, .. }, EventId::Missing | EventId::Text)
-                if !event.is_done() =>
-            {
+            (Numbering::Numeric { last }, EventId::Missing | EventId::Text) if !event.is_done() => {
                 return Err(EventError::NotNumbered { last });
             }
             (Numbering::Unknown, EventId::Number(id)) => {
-                let spacing = Spacing::Unknown;
-                self.numbering = Numbering::Numeric { last: id, spacing };
+                self.numbering = Numbering::Numeric { last: id };
                 self.first_id = self.first_id.or(Some(id));
             }
             (Numbering::Unknown, _) => self.numbering = Numbering::Absent,
@@ -206,12 +180,6 @@
     /// event is discarded.
     pub(crate) fn begin_part(&mut self) {
         self.splitter.discard_partial();
-        // Nothing shows that the numbers of a single event are sparse.
-        if let Numbering::Numeric { spacing, .. } = &mut self.numbering
-            && *spacing == Spacing::Unknown
-        {
-            *spacing = Spacing::Consecutive;
-        }
         self.part_count = 0;
         self.first_id = None;
         self.is_resumed = true;
@@ -226,7 +194,7 @@
     /// Returns the ID of the last event that the caller has.
     pub(crate) fn last_id(&self) -> Option<u64> {
         match self.numbering {
-            Numbering::Numeric { last, .. } => Some(last),
+            Numbering::Numeric { last } => Some(last),
             Numbering::Unknown | Numbering::Absent => None,
         }
     }
--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -21,6 +21,7 @@
     Body, BodyError, BodyParts, ClientBody, EventId, EventTooLong, SseEvent, SseSplitter,
     complete_events, remove_hop_headers,
 };
+use sequoiawing_policy::serving::EventNumbering;
 use sequoiawing_runtime::sleep;
 use sequoiawing_types::{Name, Ran, Time};
 use std::{
@@ -31,6 +32,10 @@
     time::{Duration, Instant},
 };
 
+/// How many steps of the same width show what the next ones of a stream will be. A single one
+/// is enough, as the upstream is asked again behind a wider one, up to [`MAX_RESUMES`] times.
+const REQUIRED_STEPS: u32 = 1;
+
 /// The maximum number of resumes of a stream without an event in between.
 const MAX_RESUMES: u32 = 3;
 
@@ -312,18 +317,32 @@
 }
 
 /// What the caller has received of a stream.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Progress {
     /// The number of events, without comments.
     count: u64,
     /// The `id` of the last event that has a number.
     last_id: Option<u64>,
+    /// What the stream has shown of its numbers.
+    numbering: EventNumbering,
     /// Whether the next event is the first one of another upstream.
     is_resumed: bool,
     /// Whether the last event has been received.
     is_done: bool,
 }
 
+impl Default for Progress {
+    fn default() -> Self {
+        Self {
+            count: 0,
+            last_id: None,
+            numbering: EventNumbering::new(REQUIRED_STEPS),
+            is_resumed: false,
+            is_done: false,
+        }
+    }
+}
+
 impl Progress {
     /// Returns the length of the events that may be relayed, and why the next one may not.
     fn accept(&mut self, events: &[u8]) -> (usize, Option<&'static str>) {
@@ -337,10 +356,13 @@
                 continue;
             }
             self.count += 1;
-            self.is_resumed = false;
             if let EventId::Number(id) = event.id() {
-                self.last_id = Some(id);
+                let last = self.last_id.replace(id).filter(|_| !self.is_resumed);
+                if let Some(last) = last {
+                    self.numbering.learn(last, id);
+                }
             }
+            self.is_resumed = false;
             if event.is_done() {
                 self.is_done = true;
                 break;
@@ -349,13 +371,13 @@
         (accepted, None)
     }
 
-    fn find_problem(&self, event: SseEvent<'_>) -> Option<&'static str> {
+    fn find_problem(&mut self, event: SseEvent<'_>) -> Option<&'static str> {
         if !event.is_well_formed() {
             return Some("the upstream sent text that is no event");
         }
         if self.is_resumed
             && let (Some(last), EventId::Number(id)) = (self.last_id, event.id())
-            && last.checked_add(1) != Some(id)
+            && !self.numbering.accepts(last, id)
         {
             return Some("the upstream did not go on at the next event");
         }
--- a/tests/requests/joins.rs
+++ b/tests/requests/joins.rs
@@ -298,7 +298,33 @@
     assert_eq!(received.len(), 3, "{received:#?}");
 }
 
+/// Asserts that a stream is resumed where IDs increase by `step`.
+async fn assert_resumed_by(step: u64) {
+    let events = move |first: u64, end: u64| -> String {
+        let events = (first..end).map(|n| format!("id: {}\n{}", (n + 1) * step, event(n)));
+        events.collect::<Vec<_>>().concat()
+    };
+    let (fleet, scripted) = start(move |received| {
+        let headers = format!("{STREAM}{CHUNKED}");
+        let part = match received.number {
+            0 => chunk(&events(0, SENT)),
+            _ => chunk(&format!("{}data: [DONE]\n\n", events(SENT, EVENTS))) + "0\r\n\r\n",
+        };
+        answer(received, "200 OK", &headers, &part)
+    })
+    .await;
+    let response = fleet.completion("/resumed", EVENTS).send().await;
+    let received = scripted.received();
+    let whole = format!("{}data: [DONE]\n\n", events(0, EVENTS));
+    assert_eq!(response.text(), whole, "{received:#?}");
+    assert_eq!(received.len(), 2, "{received:#?}");
+}
+
 cases! {
+    // Guards against sound streams that are not resumed as their IDs are not consecutive
+    // (review/11).
+    a_rest_with_sparse_ids_is_joined { assert_resumed_by(5).await; }
+
     // Guard against events that come twice or are left out where a stream goes on.
     a_rest_that_begins_anew_is_not_joined { assert_next_event(0).await; }
     a_rest_that_repeats_an_event_is_not_joined { assert_next_event(SENT - 1).await; }
