Accept a first configuration of version zero

Cause: 0 stood for "no configuration" in the hub's acknowledgement, reads and pools, in the reply to gateways, the loader, the comparison of the tables and, at gateways, in the readiness, the refusal before the first configuration and the activation. Ruled out: a loss in the log or on the way to the gateways, as version 1 is kept and known everywhere.

Change: the tables, the index of a gateway and its report give an optional version, which comes from a configuration only. Tables and reports have a flag beside the number, so that those of the build before are still read: there, zero is none. The epoch of a hub, whose 0 meant "not heard of", is optional too.

--- a/crates/sequoiawing_catalog/src/catalog.rs
+++ b/crates/sequoiawing_catalog/src/catalog.rs
@@ -63,3 +63,11 @@
     /// The submitted text.
     pub text: Arc<str>,
 }
+
+impl Document {
+    /// Returns the document, unless it stands for the lack of a configuration in a message:
+    /// no submitted text is empty.
+    pub fn into_submitted(self) -> Option<Self> {
+        (!self.text.is_empty()).then_some(self)
+    }
+}
--- a/crates/sequoiawing_catalog/src/index.rs
+++ b/crates/sequoiawing_catalog/src/index.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default)]
 pub struct CatalogIndex {
     catalog: Arc<Catalog>,
+    /// The version of the catalog, if there is one.
+    version: Option<u64>,
     /// The routes by host and path prefix.
     routes: HashMap<Box<str>, HashMap<Box<str>, Arc<CatalogRoute>>>,
     customers: HashMap<Arc<str>, Arc<CatalogCustomer>>,
@@ -25,6 +27,7 @@
     pub fn new(catalog: &Arc<Catalog>) -> Self {
         let mut index = Self {
             catalog: catalog.clone(),
+            version: Some(catalog.version),
             ..Self::default()
         };
         for route in &catalog.routes {
@@ -54,9 +57,9 @@
         &self.catalog
     }
 
-    /// Returns the version of the catalog; zero if there is none.
-    pub fn version(&self) -> u64 {
-        self.catalog.version
+    /// Returns the version of the catalog; `None` if there is none.
+    pub fn version(&self) -> Option<u64> {
+        self.version
     }
 
     /// Returns the route of a host with the longest matching prefix of a path.
--- a/crates/sequoiawing_gateway/src/filters/parse_headers.rs
+++ b/crates/sequoiawing_gateway/src/filters/parse_headers.rs
@@ -25,7 +25,7 @@
 
     fn check(&self, exchange: &mut GatewayExchange) -> Result<(), Refused> {
         exchange.meta = self.state.dialect.parse_request(&exchange.headers)?;
-        if exchange.index.version() == 0 {
+        if exchange.index.version().is_none() {
             let problem = "this host has no configuration yet";
             let refused = Refused::new(Code::Unavailable, problem);
             return Err(refused.with_retry_after(NO_CATALOG_RETRY));
--- a/crates/sequoiawing_gateway/src/hub_sync.rs
+++ b/crates/sequoiawing_gateway/src/hub_sync.rs
@@ -110,8 +110,8 @@
     cursor: Cursor,
     /// The change counter of the hub's last response.
     seen: u64,
-    /// Identifies the run of the hub process.
-    epoch: u64,
+    /// Identifies the run of the hub process, if it has responded.
+    epoch: Option<u64>,
     /// The stamp of the last stream that the hub has been told of.
     streams: u64,
 }
@@ -168,11 +168,13 @@
         let sync_position = *self.sync_position.lock();
         let skips_roster = !is_primary && state.hubs.lock().has_fresh_primary(state.now());
         let (last_stream, streams) = state.origins.report(sync_position.streams);
+        let version = state.index().version();
         let report = GatewayReport {
             host: state.settings.host.clone(),
             incarnation: state.incarnation.get(),
             leaving: state.is_stopping.load(Ordering::Relaxed),
-            version: state.index().version(),
+            version: version.unwrap_or_default(),
+            configured: version.is_some(),
             evacuations: state.evacuation_revision(),
             cursor: sync_position.cursor,
             used: usage.clone(),
@@ -203,12 +205,11 @@
         *self.sync_position.lock() = SyncPosition {
             cursor: update.roster.cursor,
             seen: update.seen,
-            epoch: update.epoch,
+            epoch: Some(update.epoch),
             // A hub that has started anew knows only what this report told.
-            streams: if [0, update.epoch].contains(&sync_position.epoch) {
-                last_stream
-            } else {
-                0
+            streams: match sync_position.epoch {
+                Some(known) if known != update.epoch => 0,
+                Some(_) | None => last_stream,
             },
         };
         self.update_hub(update.facts.clone());
@@ -217,7 +218,7 @@
         let as_of = Time::ZERO + sent.since(Time::ZERO + age);
         let roster_time = (!skips_roster).then_some(as_of);
         // A hub that has started may have no tables to tell of yet.
-        let has_tables = update.catalog.is_some() || state.index().version() > 0;
+        let has_tables = update.catalog.is_some() || state.index().version().is_some();
         // The first configuration makes the gateway ready.
         state.apply_evacuations(has_tables.then_some(as_of), update.evacuations.as_ref());
         state.apply_hub_update(self.hub, update, &usage, &lost);
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -212,7 +212,7 @@
     /// shutting down and its data centre is not cut off from all others.
     pub fn is_ready(&self) -> bool {
         let is_stopping = self.is_stopping.load(Ordering::Relaxed);
-        !is_stopping && self.index.load().version() > 0 && !self.is_isolated()
+        !is_stopping && self.index.load().version().is_some() && !self.is_isolated()
     }
 
     /// Returns whether the data centre is cut off from all others.
@@ -544,7 +544,7 @@
             self.apply_evictions(now, &mut cluster, evictions);
         }
         if let Some(meters) = &self.meters {
-            meters.set_state(self.index.load().version(), false);
+            meters.set_state(self.index.load().version().unwrap_or_default(), false);
             let open = usize::try_from(self.open_requests.load(Ordering::Relaxed));
             meters.set_requests(0, open.unwrap_or(usize::MAX));
             self.update_cold_meters(now, meters);
@@ -594,7 +594,7 @@
         // The lock serializes configurations that arrive from several hubs.
         let mut balancer = self.balancer.lock();
         let current = self.index.load().version();
-        if catalog.version <= current {
+        if Some(catalog.version) <= current {
             return;
         }
         log::info!(
--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -260,13 +260,14 @@
         let silent = roster.silent(now, self.settings.silence_timeout);
         drop(roster);
         let tables = self.handle.tables();
-        let catalog = tables.catalog.clone();
+        let held = report.catalog_version();
+        let newer = tables.catalog().filter(|c| Some(c.version) > held);
         let evacuations = &tables.evacuations;
-        let is_current = report.version > 0 || self.may_start_gateways(now);
+        let is_current = held.is_some() || self.may_start_gateways(now);
         SyncReply {
             epoch: self.epoch,
             facts: self.info(),
-            catalog: (is_current && catalog.version > report.version).then_some(catalog),
+            catalog: newer.filter(|_| is_current).cloned(),
             evacuations: (is_current && evacuations.revision > report.evacuations)
                 .then(|| evacuations.clone()),
             roster: roster_update,
@@ -334,9 +335,9 @@
         }
     }
 
-    /// Returns the active configuration if this host leads.
+    /// Returns the active configuration if this host leads; without a text if there is none.
     pub(crate) async fn document_as_leader(&self) -> Result<Document, ControlError> {
-        Ok(self.handle.read().await?.document())
+        Ok(self.handle.read().await?.document().unwrap_or_default())
     }
 
     pub(crate) fn dump(&self) -> serde_json::Value {
@@ -349,7 +350,7 @@
             "evictions": self.evictions(self.now()),
             "quarantine": self.poison.lock().dump(self.now()),
             "streams": self.streams.lock().len(),
-            "version": self.handle.tables().catalog.version,
+            "version": self.handle.tables().catalog().map(|c| c.version),
             "evacuations": self.handle.tables().evacuations,
         })
     }
@@ -464,9 +465,9 @@
     /// Returns whether the active configuration has a pool; `None` if there is no
     /// configuration.
     pub fn has_pool(&self, pool: &Name) -> Option<bool> {
-        let catalog = self.state.handle.tables().catalog.clone();
-        let has_pool = catalog.pools.iter().any(|p| p.name == *pool);
-        (catalog.version > 0).then_some(has_pool)
+        let tables = self.state.handle.tables();
+        let mut pools = tables.catalog()?.pools.iter();
+        Some(pools.any(|p| p.name == *pool))
     }
 
     /// Returns whether this host recently had contact with the log's majority.
@@ -493,10 +494,10 @@
     /// committed later.
     pub async fn replace(&self, document: Document) -> Result<u64, ControlError> {
         let version = document.catalog.version;
-        let current = self.state.handle.tables().catalog.version;
+        let tables = self.state.handle.tables();
         // A configuration that is applied here is committed.
-        if version <= current {
-            return Ok(current);
+        if let Some(current) = tables.catalog().filter(|c| c.version >= version) {
+            return Ok(current.version);
         }
         self.call_leader(
             || self.state.replace_as_leader(document.clone()),
@@ -510,21 +511,21 @@
         .await
     }
 
-    /// Returns the active configuration as of a time after the call
+    /// Returns the active configuration, if there is one, as of a time after the call
     /// (linearizable read).
     ///
     /// # Errors
     ///
     /// Returns an error when no leader confirmed it in time.
-    pub async fn document(&self) -> Result<Document, ControlError> {
-        self.call_leader(
+    pub async fn document(&self) -> Result<Option<Document>, ControlError> {
+        let document = self.call_leader(
             || self.state.document_as_leader(),
             |stub| async move {
                 let call = async |client: HubClient, context| client.document(context).await;
                 stub.call(LEADER_TIMEOUT, call).await
             },
-        )
-        .await
+        );
+        Ok(document.await?.into_submitted())
     }
 
     /// Returns the state as JSON, without secrets.
--- a/crates/sequoiawing_hub/src/loader.rs
+++ b/crates/sequoiawing_hub/src/loader.rs
@@ -60,7 +60,8 @@
     options: LoaderOptions,
     term: u64,
     loader: ModelLoader,
-    version: u64,
+    /// The version of the configuration that the loader knows.
+    version: Option<u64>,
     /// The revision of the evacuated data centres that the loader knows.
     evacuations: u64,
     cursor: Cursor,
@@ -79,7 +80,7 @@
             state,
             options,
             term,
-            version: 0,
+            version: None,
             evacuations: 0,
             cursor: Cursor::default(),
             engines: BTreeMap::new(),
@@ -131,7 +132,7 @@
     fn update(&mut self) {
         let now = self.state.now();
         let tables = self.state.handle.tables();
-        let catalog = tables.catalog.clone();
+        let catalog = tables.catalog().cloned();
         if tables.evacuations.revision != self.evacuations {
             self.evacuations = tables.evacuations.revision;
             let centres = tables.evacuations.centres.clone();
@@ -141,8 +142,8 @@
             );
             self.handle_event(LoaderEvent::Evacuated(centres));
         }
-        if catalog.version > self.version {
-            self.version = catalog.version;
+        if let Some(catalog) = catalog.filter(|c| Some(c.version) > self.version) {
+            self.version = Some(catalog.version);
             self.handle_event(LoaderEvent::Catalog(catalog));
             // Pools may have become pools of engines, so all upstreams are read
             // again.
--- a/crates/sequoiawing_hub/src/upstream_limits.rs
+++ b/crates/sequoiawing_hub/src/upstream_limits.rs
@@ -166,8 +166,8 @@
 
     /// Returns the upstreams that are cold.
     fn cold_upstreams(&self, now: Time) -> Vec<ColdUpstream> {
-        let catalog = self.handle.tables().catalog.clone();
-        let pools = catalog.pools.iter();
+        let tables = self.handle.tables();
+        let pools = tables.catalog().into_iter().flat_map(|c| &c.pools);
         let rates = pools.filter_map(|pool| Some((&pool.name, pool.cold.rate()?)));
         let rates: HashMap<&Name, RequestRate> = rates.collect();
         if rates.is_empty() {
--- a/crates/sequoiawing_link/src/hub.rs
+++ b/crates/sequoiawing_link/src/hub.rs
@@ -74,8 +74,10 @@
     pub incarnation: u64,
     /// Whether the gateway is shutting down.
     pub leaving: bool,
-    /// The version of the gateway's configuration.
+    /// The version of the gateway's configuration; see [`catalog_version`](Self::catalog_version).
     pub version: u64,
+    /// Whether the gateway has a configuration, which may have version zero.
+    pub configured: bool,
     /// The revision of the evacuated data centres that the gateway knows.
     pub evacuations: u64,
     /// The gateway's position in the hub's roster.
@@ -107,6 +109,14 @@
     pub wait: u64,
 }
 
+impl GatewayReport {
+    /// Returns the version of the gateway's configuration, if it has one. Gateways of builds
+    /// that took version zero for none do not send `configured`.
+    pub fn catalog_version(&self) -> Option<u64> {
+        (self.configured || self.version > 0).then_some(self.version)
+    }
+}
+
 /// A gateway that opens tunnels to upstreams for others.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct NamedTunnelHost {
--- a/crates/sequoiawing_tables/src/tables.rs
+++ b/crates/sequoiawing_tables/src/tables.rs
@@ -60,8 +60,11 @@
     pub hosts: Shared<BTreeMap<Name, RouterHost>>,
     /// The membership epoch of each data centre's cell.
     pub cells: BTreeMap<Name, CellEpoch>,
-    /// The active configuration; version zero if there is none.
-    pub catalog: Arc<Catalog>,
+    /// The active configuration, if there is one; see [`Tables::catalog`].
+    catalog: Arc<Catalog>,
+    /// Whether there is a configuration. Builds that took version zero for none did not
+    /// store this.
+    is_configured: bool,
     /// The data centres whose upstreams must receive no requests.
     pub evacuations: Evacuations,
     /// The upstreams that leave or have left.
@@ -149,6 +152,7 @@
             hosts: self.hosts.clone(),
             cells: self.cells.clone(),
             catalog: self.catalog.clone(),
+            is_configured: self.is_configured,
             evacuations: self.evacuations.clone(),
             ..Self::default()
         }
@@ -172,18 +176,24 @@
         check_tables(self)
     }
 
-    /// Returns the active configuration with its source text.
-    pub fn document(&self) -> Document {
-        Document {
-            catalog: self.catalog.clone(),
-            text: self.text.clone(),
-        }
+    /// Returns the active configuration; `None` before the first one.
+    pub fn catalog(&self) -> Option<&Arc<Catalog>> {
+        let is_configured = self.is_configured || self.catalog.version > 0;
+        is_configured.then_some(&self.catalog)
+    }
+
+    /// Returns the active configuration with its source text; `None` before the first one.
+    pub fn document(&self) -> Option<Document> {
+        let catalog = self.catalog()?.clone();
+        let text = self.text.clone();
+        Some(Document { catalog, text })
     }
 
     /// Replaces the configuration, unless the current version is the same or
     /// newer.
     fn replace(&mut self, document: Document) -> Outcome {
-        if document.catalog.version > self.catalog.version {
+        let current = self.catalog().map(|catalog| catalog.version);
+        if current.is_none_or(|current| document.catalog.version > current) {
             let Document { catalog, text } = document;
             self.commit(vec![Change::PutCatalog(catalog)]);
             // Otherwise hundreds of old configurations would be kept for
@@ -336,7 +346,10 @@
                 check_removed(removed, findings, "hosts", &host);
             }
             Change::SettleCell { centre, epoch } => self.mark_settled(centre, epoch),
-            Change::PutCatalog(catalog) => self.catalog = catalog,
+            Change::PutCatalog(catalog) => {
+                self.catalog = catalog;
+                self.is_configured = true;
+            }
         }
     }
 
