Count an adapter until its engine has dropped it

Cause: the loader lowered its count when the engine accepted the unload of an adapter. One in use is dropped when its runs have ended, and the engine takes other orders meanwhile. The count of accepted orders does not protect, as it was right. The loader's test world made the engine busy until then, and the stand-ins dropped at once, so that no test could fail.

Change: the worlds first. An adapter in use keeps its slot in the loader's world, the stand-in engine and the bench's fake runners. Then the loader: an accepted unload moves the adapter to `LeavingAdapters`, which takes slot and memory until a report of a later state does not list it; it is not loaded again before, and gateways send it no requests. If requests miss an adapter that an engine should hold for 3 s, the engine is asked.

Looked at: whole models make the engine busy, so that no order is accepted before they are dropped; the routers' placer counts what engines announce.

--- a/crates/sequoiawing_bench/src/fakes/runner.rs
+++ b/crates/sequoiawing_bench/src/fakes/runner.rs
@@ -97,6 +97,10 @@
     pub(crate) loaded: BTreeMap<Name, Replica>,
     pub(crate) loading: BTreeMap<Name, PendingLoad>,
     adapters: BTreeSet<Name>,
+    /// The running requests of each adapter.
+    adapter_runs: BTreeMap<Name, u32>,
+    /// The adapters that are dropped once their requests have ended.
+    leaving_adapters: BTreeSet<Name>,
     loading_adapters: BTreeSet<Name>,
     failed: BTreeSet<Name>,
     cached: VecDeque<Name>,
@@ -129,6 +133,8 @@
             loaded: BTreeMap::new(),
             loading: BTreeMap::new(),
             adapters: BTreeSet::new(),
+            adapter_runs: BTreeMap::new(),
+            leaving_adapters: BTreeSet::new(),
             loading_adapters: BTreeSet::new(),
             failed: BTreeSet::new(),
             cached,
@@ -271,7 +277,11 @@
                 StartedWork::Adapter { adapter }
             }
             OrderKind::UnloadAdapter { adapter } => {
-                self.adapters.remove(adapter);
+                if self.adapter_runs.contains_key(adapter) {
+                    self.leaving_adapters.insert(adapter.clone());
+                } else {
+                    self.adapters.remove(adapter);
+                }
                 StartedWork::Nothing
             }
             OrderKind::Fence => StartedWork::Nothing,
@@ -281,6 +291,8 @@
     fn unload(&mut self, model: &Name) -> StartedWork {
         let prefix = format!("{model}:");
         self.adapters.retain(|a| !a.as_str().starts_with(&prefix));
+        self.leaving_adapters
+            .retain(|a| !a.as_str().starts_with(&prefix));
         if self.loaded.remove(model).is_some() {
             self.cached.retain(|m| m != model);
             self.cached.push_back(model.clone());
@@ -333,7 +345,8 @@
     /// Returns whether the model is loaded, and its adapter (`model:adapter`)
     /// if one is given.
     pub(crate) fn has_loaded(&self, model: &Name, adapter: Option<&Name>) -> bool {
-        self.loaded.contains_key(model) && adapter.is_none_or(|a| self.adapters.contains(a))
+        let has_adapter = |a| self.adapters.contains(a) && !self.leaving_adapters.contains(a);
+        self.loaded.contains_key(model) && adapter.is_none_or(has_adapter)
     }
 
     /// Counts a request as running. Returns how long the replica was idle
@@ -348,6 +361,9 @@
         self.running += 1;
         self.active.insert(model.clone());
         self.active.extend(adapter.cloned());
+        if let Some(adapter) = adapter {
+            *self.adapter_runs.entry(adapter.clone()).or_default() += 1;
+        }
         let was_cached = self.prefixes.contains(&prefix);
         if !was_cached && prefix != 0 {
             self.prefixes.push_back(prefix);
@@ -369,8 +385,24 @@
         (idle, was_cached)
     }
 
+    fn end_adapter_run(&mut self, adapter: &Name) {
+        let Some(runs) = self.adapter_runs.get_mut(adapter) else {
+            return;
+        };
+        *runs -= 1;
+        if *runs == 0 {
+            self.adapter_runs.remove(adapter);
+            if self.leaving_adapters.remove(adapter) {
+                self.adapters.remove(adapter);
+            }
+        }
+    }
+
     /// Counts a request as finished.
-    pub(crate) fn end_request(&mut self, now: Time, model: &Name) {
+    pub(crate) fn end_request(&mut self, now: Time, model: &Name, adapter: Option<&Name>) {
+        if let Some(adapter) = adapter {
+            self.end_adapter_run(adapter);
+        }
         self.running = self.running.saturating_sub(1);
         if let Some(replica) = self.loaded.get_mut(model) {
             replica.running = replica.running.saturating_sub(1);
--- a/crates/sequoiawing_bench/src/simulation/faults.rs
+++ b/crates/sequoiawing_bench/src/simulation/faults.rs
@@ -87,7 +87,8 @@
         let name = self.runners[i].spec.name.clone();
         for request in std::mem::take(&mut self.jobs[i]).into_keys() {
             let model = self.requests[request].model.clone();
-            self.runners[i].end_request(self.now, &model);
+            let adapter = self.requests[request].adapter.clone();
+            self.runners[i].end_request(self.now, &model, adapter.as_ref());
             self.fail_attempt(request, name.clone(), Duration::ZERO);
         }
         self.runners[i].queue.clear();
--- a/crates/sequoiawing_bench/src/simulation/jobs.rs
+++ b/crates/sequoiawing_bench/src/simulation/jobs.rs
@@ -116,8 +116,9 @@
             return;
         }
         self.jobs[i].remove(&request);
-        let model = self.requests[request].model.clone();
-        self.runners[i].end_request(self.now, &model);
+        let details = &self.requests[request];
+        let adapter = details.adapter.as_ref();
+        self.runners[i].end_request(self.now, &details.model, adapter);
         self.outcomes[request].is_complete = true;
         if let Some(next) = self.runners[i].queue.pop_front() {
             let attempt = self.jobs[i].get(&next).copied().unwrap_or(0);
--- a/crates/sequoiawing_gateway/src/lib.rs
+++ b/crates/sequoiawing_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! between HTTP headers and this crate's types. See
 //! [docs/design/platform.md](../../../docs/design/platform.md).
 
+mod adapter_use;
 mod answer_end;
 mod attempt;
 mod body_metrics;
--- a/crates/sequoiawing_gateway/src/slots.rs
+++ b/crates/sequoiawing_gateway/src/slots.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     GatewayExchange, GatewayState, LimitNotice, ToleranceNotice, UpstreamNotice,
-    places::PlaceSearch, process_watch::ProcessEvidence, state::DemandEvent,
+    adapter_use::AdapterUse, places::PlaceSearch, process_watch::ProcessEvidence,
+    state::DemandEvent,
 };
 use futures_lite::FutureExt;
 use sequoiawing_policy::serving::{Assignment, AttemptOutcome, BalancerRequest, PickResult};
@@ -63,6 +64,8 @@
     pub(crate) process: Option<ProcessEvidence>,
     /// The number of its place, if the upstream is brittle.
     place: Option<u64>,
+    /// Counts the adapter of the request as in use.
+    _adapter: Option<AdapterUse>,
     outcome: AttemptOutcome,
 }
 
@@ -214,6 +217,7 @@
             begun: None,
             process: None,
             place,
+            _adapter: self.state.use_adapter(self.exchange),
             outcome: AttemptOutcome::Cancelled,
         }
     }
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -1,5 +1,6 @@
 use crate::{
     Dialect, GatewayExchange, GatewaySettings,
+    adapter_use::AdaptersInUse,
     cluster_view::{ClusterView, DISCONNECTED_AFTER, HubView},
     event_numberings::EventNumberings,
     incarnation::Incarnation,
@@ -135,6 +136,7 @@
     pub(crate) quarantine: QuarantineState,
     pub(crate) origins: OriginRecords,
     pub(crate) event_numberings: EventNumberings,
+    pub(crate) adapters: AdaptersInUse,
     /// The places at brittle upstreams.
     pub(crate) places: Places,
     /// The observed processes of upstreams.
@@ -191,6 +193,7 @@
             quarantine: QuarantineState::new(rand::random()),
             origins: OriginRecords::default(),
             event_numberings: EventNumberings::default(),
+            adapters: AdaptersInUse::default(),
             places: Places::default(),
             processes: ProcessWatches::default(),
             standstills: Mutex::new(Standstills::new(Time::ZERO, CHECK_INTERVAL)),
@@ -323,7 +326,16 @@
 
     /// Returns the unacknowledged demand batches, with one for new demand.
     pub(crate) fn demand_batches(&self) -> Vec<DemandBatch> {
+        let in_use = self.adapters.take_due(self.now());
         let mut queue = self.demand.lock();
+        for demand in in_use {
+            let key = (
+                demand.pool.clone(),
+                demand.model.clone(),
+                demand.adapter.clone(),
+            );
+            queue.pending.entry(key).or_insert(demand);
+        }
         if !queue.pending.is_empty() {
             let pending = std::mem::take(&mut queue.pending);
             queue.last_number += 1;
--- a/crates/sequoiawing_hub/src/load_request.rs
+++ b/crates/sequoiawing_hub/src/load_request.rs
@@ -80,7 +80,8 @@
         if let Some((_, evictions)) = &*self.evictions.lock() {
             let is_evicted = |name: &Name| {
                 let mut evicted = evictions.evicted.iter();
-                evicted.any(|(n, m)| n == name && *m == demand.model)
+                let needed = [Some(&demand.model), demand.adapter.as_ref()];
+                evicted.any(|(n, evicted)| n == name && needed.contains(&Some(evicted)))
             };
             holders.retain(|name| !is_evicted(name));
         }
--- a/crates/sequoiawing_policy/src/serving/balancer.rs
+++ b/crates/sequoiawing_policy/src/serving/balancer.rs
@@ -292,7 +292,7 @@
         }
     }
 
-    /// Sets which upstreams were ordered to unload which models.
+    /// Sets which upstreams were ordered to unload which models and adapters.
     pub fn set_evicted<I>(&mut self, evicted: I)
     where
         I: IntoIterator<Item = (Name, Name)>,
@@ -307,12 +307,15 @@
             let mut loads = expected.into_iter().flatten();
             loads.any(|(loaded, ready)| loaded == name && now >= *ready)
         };
-        let has_model = |model: &Name| {
-            let is_held = state.has_model(model) || is_expected(model);
-            let key = (state.name.clone(), model.clone());
-            is_held && (self.evicted.is_empty() || !self.evicted.contains(&key))
+        let is_evicted = |name: &Name| {
+            let key = || (state.name.clone(), name.clone());
+            !self.evicted.is_empty() && self.evicted.contains(&key())
+        };
+        let has_model =
+            |model: &Name| (state.has_model(model) || is_expected(model)) && !is_evicted(model);
+        let has_adapter = |adapter: &Name| {
+            (state.has_adapter(adapter) || is_expected(adapter)) && !is_evicted(adapter)
         };
-        let has_adapter = |adapter: &Name| state.has_adapter(adapter) || is_expected(adapter);
         request.model.as_ref().is_none_or(has_model)
             && request.adapter.as_ref().is_none_or(has_adapter)
     }
--- a/crates/sequoiawing_policy/src/serving/loader/engine.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/engine.rs
@@ -1,6 +1,7 @@
 use super::{
     EngineReply, EngineReport, LoadSource, LoaderAction,
     late_orders::{Reserve, SentOrder},
+    leaving::{DROP_POLL_INTERVAL, LeavingAdapters},
     load_time,
 };
 use sequoiawing_catalog::ModelSpec;
@@ -55,6 +56,10 @@
 /// The approximate duration of an adapter load.
 const ADAPTER_LOAD_DURATION: Duration = Duration::from_millis(30);
 
+/// The interval between two requests for the state of an engine whose adapters requests did
+/// not find. Gateways learn of a new adapter within that time.
+const ADAPTER_VERIFY_INTERVAL: Duration = Duration::from_secs(3);
+
 /// How long after its last request an adapter counts as in use.
 const ADAPTER_USE_TTL: Duration = Duration::from_secs(4);
 
@@ -152,6 +157,8 @@
     pub(super) evicted: BTreeMap<Name, Time>,
     /// The loaded adapters, with the time of their last order or request.
     pub(super) adapters: BTreeMap<Name, Time>,
+    /// The adapters that it was ordered to unload and may still hold.
+    pub(super) leaving: LeavingAdapters,
     /// The adapter ordered last and its estimated completion time.
     pub(super) last_adapter_load: Option<(Name, Time)>,
     /// The loaded models according to orders and reports, with the time of
@@ -177,6 +184,8 @@
     /// order.
     stale_until: Time,
     queued_adapters: VecDeque<Name>,
+    /// Whether requests did not find an adapter that it should hold.
+    is_unverified: bool,
     adapter_slots: u32,
     /// The number of consecutive busy replies.
     busy_replies: u32,
@@ -195,6 +204,7 @@
             is_unreachable: false,
             is_evacuated,
             evicted: BTreeMap::new(),
+            leaving: LeavingAdapters::default(),
             last_adapter_load: None,
             accepted: None,
             pending: None,
@@ -208,6 +218,7 @@
             backoff_until: Time::ZERO,
             stale_until: Time::ZERO,
             queued_adapters: VecDeque::new(),
+            is_unverified: false,
             adapter_slots: 0,
             busy_replies: 0,
         }
@@ -245,7 +256,8 @@
         for model in announced {
             self.held.entry(model.clone()).or_insert(now);
         }
-        for adapter in &self.state.adapters {
+        let announced = self.state.adapters.iter();
+        for adapter in announced.filter(|a| !self.leaving.contains(a)) {
             self.adapters.entry(adapter.clone()).or_insert(now);
         }
     }
@@ -391,7 +403,15 @@
         let in_use = self.adapters.values();
         let in_use = in_use.filter(|used| now < **used + ADAPTER_USE_TTL);
         let taken = in_use.count() + self.queued_adapters.len();
-        taken + (self.reserve.adapters as usize) < slots as usize
+        taken + self.leaving.len() + (self.reserve.adapters as usize) < slots as usize
+    }
+
+    /// Requests the engine's state before its next order, since requests did not find an
+    /// adapter there that it should hold. A leader that has just begun does not know which
+    /// adapters are being unloaded.
+    pub(super) fn verify_adapter(&mut self, now: Time, adapter: &Name) {
+        let is_due = now >= self.asked + ADAPTER_VERIFY_INTERVAL;
+        self.is_unverified |= is_due && self.adapters.contains_key(adapter);
     }
 
     /// Returns the time until the engine accepts other orders after its load.
@@ -422,6 +442,10 @@
                 self.accepted = self.accepted.map(|a| a + 1);
                 self.busy_replies = 0;
                 self.stale_until = now + STALE_ANNOUNCEMENT_TTL;
+                if let PendingOrder::UnloadAdapter(adapter) = &pending {
+                    let expected = self.last_order.expected;
+                    self.leaving.begin(adapter.clone(), expected);
+                }
                 return self.apply_order(now, &pending);
             }
             EngineReply::Holds => {
@@ -462,6 +486,7 @@
             PendingOrder::Evict(model) => {
                 self.held.remove(model);
                 self.adapters.retain(|a, _| !is_adapter_of(a, model));
+                self.leaving.remove_model(model);
                 self.evicted.insert(model.clone(), now);
                 let delay = self.job.as_ref().map_or(EVICTION_DELAY, |job| job.delay);
                 self.backoff_until = now + delay;
@@ -485,7 +510,7 @@
                 Some(job.source)
             }
             PendingOrder::LoadAdapter(adapter) => {
-                self.queued_adapters.pop_front();
+                self.queued_adapters.retain(|a| a != adapter);
                 self.adapters.insert(adapter.clone(), now);
                 self.last_adapter_load = Some((adapter.clone(), now + ADAPTER_LOAD_DURATION));
                 None
@@ -523,10 +548,13 @@
             .iter()
             .map(|m| (m.clone(), since(m)))
             .collect();
+        self.is_unverified = false;
+        self.leaving.apply(&report);
         let since = |a: &Name| self.adapters.get(a).copied().unwrap_or(now);
         self.adapters = report
             .adapters
             .iter()
+            .filter(|a| !self.leaving.contains(a))
             .map(|a| (a.clone(), since(a)))
             .collect();
         let Some(job) = &mut self.job else {
@@ -573,7 +601,10 @@
             return;
         }
         self.drop_orphaned_adapters();
-        let Some((pending, kind)) = self.next_order() else {
+        let Some((pending, kind)) = self.next_order(now) else {
+            if self.is_unverified || self.waits_for_drop(now) {
+                self.request_report(now, name, out);
+            }
             return;
         };
         let Some(expected) = self.accepted else {
@@ -604,22 +635,44 @@
         out.push(LoaderAction::QueryState(name.clone()));
     }
 
-    fn next_order(&self) -> Option<(PendingOrder, OrderKind)> {
-        if let Some(adapter) = self.queued_adapters.front() {
-            let taken = self.adapters.len() + self.reserve.adapters as usize;
-            let is_full = taken >= self.adapter_slots as usize;
-            let oldest = self.adapters.iter().min_by_key(|(_, ordered)| **ordered);
-            if is_full && let Some((oldest, _)) = oldest {
-                let adapter = oldest.clone();
-                let pending = PendingOrder::UnloadAdapter(adapter.clone());
-                return Some((pending, OrderKind::UnloadAdapter { adapter }));
-            }
-            // Without an adapter that could give way, all slots are kept for late orders.
-            if !is_full {
-                let adapter = adapter.clone();
-                let pending = PendingOrder::LoadAdapter(adapter.clone());
-                return Some((pending, OrderKind::LoadAdapter { adapter }));
-            }
+    /// Returns the next queued adapter that can be loaded. One that is being unloaded cannot,
+    /// as the engine holds it already.
+    fn next_adapter(&self) -> Option<&Name> {
+        let mut queued = self.queued_adapters.iter();
+        queued.find(|adapter| !self.leaving.contains(adapter))
+    }
+
+    /// Returns whether the engine is to be asked if it has dropped an adapter that others
+    /// wait for.
+    fn waits_for_drop(&self, now: Time) -> bool {
+        let is_due = now >= self.asked + DROP_POLL_INTERVAL;
+        is_due && self.leaving.len() > 0 && !self.queued_adapters.is_empty()
+    }
+
+    /// Returns the order for the next queued adapter, if it need not wait for one to be dropped.
+    fn next_adapter_order(&self, now: Time) -> Option<(PendingOrder, OrderKind)> {
+        let adapter = self.next_adapter()?;
+        let reserved = self.leaving.len() + self.reserve.adapters as usize;
+        if self.adapters.len() + reserved < self.adapter_slots as usize {
+            let adapter = adapter.clone();
+            let pending = PendingOrder::LoadAdapter(adapter.clone());
+            return Some((pending, OrderKind::LoadAdapter { adapter }));
+        }
+        // Without an adapter that could give way, all slots are kept for late orders.
+        let (oldest, used) = self.adapters.iter().min_by_key(|(_, used)| **used)?;
+        let is_in_use = now < *used + ADAPTER_USE_TTL;
+        if is_in_use && self.leaving.len() >= self.queued_adapters.len() {
+            return None;
+        }
+        let adapter = oldest.clone();
+        let pending = PendingOrder::UnloadAdapter(adapter.clone());
+        Some((pending, OrderKind::UnloadAdapter { adapter }))
+    }
+
+    fn next_order(&self, now: Time) -> Option<(PendingOrder, OrderKind)> {
+        let order = self.next_adapter_order(now);
+        if order.is_some() {
+            return order;
         }
         let job = self.job.as_ref()?;
         match job.phase {
@@ -637,7 +690,8 @@
     }
 }
 
-fn is_adapter_of(adapter: &Name, model: &Name) -> bool {
+/// Returns whether an adapter, named `model:adapter`, belongs to a model.
+pub(super) fn is_adapter_of(adapter: &Name, model: &Name) -> bool {
     let named = adapter.as_str().split_once(':');
     named.is_some_and(|(m, _)| m == model.as_str())
 }
--- a/crates/sequoiawing_policy/src/serving/loader/memory.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/memory.rs
@@ -19,7 +19,8 @@
     pub(super) fn free_memory(&self, pool: &CatalogPool, engine: &Engine) -> Option<u64> {
         let capacity = pool.engine.as_ref()?.weights;
         let models = engine.held_or_announced().map(|m| self.weights(pool, m));
-        let adapters = engine.adapters.keys().map(|adapter| {
+        let adapters = engine.adapters.keys().chain(engine.leaving.names());
+        let adapters = adapters.map(|adapter| {
             let model = adapter.as_str().split_once(':').map(|(model, _)| model);
             let model = Name::from(model.unwrap_or_default());
             let spec = self.index.model(&pool.name, &model);
--- a/crates/sequoiawing_policy/src/serving/loader/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/mod.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod inventory;
 mod late_orders;
+mod leaving;
 mod memory;
 mod stream_demand;
 mod turns;
@@ -75,7 +76,7 @@
         model: Name,
         /// The adapter, as `model:adapter`.
         adapter: Option<Name>,
-        /// The number of requests.
+        /// The number of requests. With none, and nothing else, the adapter is in use.
         requests: u64,
         /// How many of them can wait for a load and still be answered in time.
         patient: u64,
@@ -233,6 +234,10 @@
                         engine.use_adapter(now, adapter);
                     }
                 }
+                // The adapter runs a request that has been counted.
+                if requests + missed + saturated + late == 0 {
+                    return;
+                }
                 self.demands.record(now, (pool, model, adapter), sample);
             }
             LoaderEvent::StreamMissed {
@@ -273,11 +278,11 @@
         running.chain(adapter_plans).chain(queued).collect()
     }
 
-    /// Returns pairs of an engine and a model that it was ordered to evict but
+    /// Returns pairs of an engine and a model or adapter that it was ordered to evict but
     /// may still announce.
     pub fn evicted(&self) -> Vec<(Name, Name)> {
         let all = self.engines.iter().flat_map(|(name, engine)| {
-            let evicted = engine.evicted.keys();
+            let evicted = engine.evicted.keys().chain(engine.leaving.names());
             evicted.map(|model| (name.clone(), model.clone()))
         });
         all.collect()
--- a/crates/sequoiawing_policy/tests/loader/main.rs
+++ b/crates/sequoiawing_policy/tests/loader/main.rs
@@ -258,3 +258,47 @@
         "{slowest:?} from the first request"
     );
 }
+
+/// More adapters are in use than all engines have slots for, and others are asked for.
+/// Guards against an adapter that is loaded into the slot of one that still runs requests
+/// (review/12).
+#[test]
+fn adapters_that_are_unloaded_keep_their_slots_until_their_runs_have_ended() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, Faults::default());
+        world.is_idle = true;
+        let model = Name::from("m0");
+        let mut served = 0;
+        for step in 0..1_200 {
+            let is_loaded = world.request_adapter(&model, step % 36);
+            served += u32::from(step >= 600 && is_loaded);
+            world.run(Duration::from_millis(50));
+        }
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(world.adapters_interrupted > 0, "seed {seed}: none gave way");
+        assert!(served >= 300, "seed {seed}: {served} of 600 requests");
+    }
+}
+
+/// A stream runs for long while other adapters of its engine are requested now and then.
+/// Guards against an adapter that gives way since its last request is the oldest, and then
+/// keeps its slot until its runs have ended (review/12).
+#[test]
+fn adapter_of_a_long_run_does_not_give_way() {
+    let mut world = World::new(1, Faults::default());
+    world.is_idle = true;
+    let model = Name::from("m0");
+    for step in 0..60 {
+        if step % 2 == 0 {
+            world.request_adapter(&model, 1 + step / 2);
+        }
+        world.run(Duration::from_secs(1));
+        if step == 0 {
+            assert!(!world.request_adapter(&model, 0));
+        } else {
+            world.use_adapter(&model, 0);
+        }
+    }
+    assert_eq!(world.adapters_interrupted, 0, "the adapter in use gave way");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
--- a/crates/sequoiawing_policy/tests/loader/world.rs
+++ b/crates/sequoiawing_policy/tests/loader/world.rs
@@ -45,7 +45,10 @@
     epoch: u64,
     sequence: u64,
     loaded: BTreeSet<Name>,
+    /// The loaded adapters, also those that are to be unloaded.
     adapters: BTreeSet<Name>,
+    /// The adapters that are unloaded once their runs have ended, and when that is.
+    leaving: BTreeMap<Name, Time>,
     disk: BTreeSet<Name>,
     /// The model being loaded, whether it comes from the weight store, and the
     /// completion time.
@@ -158,6 +161,7 @@
                 sequence: 0,
                 loaded: held.into(),
                 adapters: BTreeSet::new(),
+                leaving: BTreeMap::new(),
                 disk: disk.chain([model(2 * i), model(2 * i + 1)]).collect(),
                 loading: None,
                 evicting: None,
@@ -291,7 +295,7 @@
     /// Sends a request for an adapter; returns whether an engine had it.
     pub(crate) fn request_adapter(&mut self, model: &Name, number: usize) -> bool {
         let adapter = Name::from(format!("{model}:a{number}"));
-        let is_loaded = self.engines.values().any(|e| e.adapters.contains(&adapter));
+        let is_loaded = self.engines.values().any(|e| e.serves(&adapter));
         if is_loaded {
             let until = self.now + ADAPTER_RUN;
             self.adapter_runs.insert(adapter.clone(), until);
@@ -309,6 +313,23 @@
         is_loaded
     }
 
+    /// Tells the loader that requests with an adapter still run.
+    pub(crate) fn use_adapter(&mut self, model: &Name, number: usize) {
+        let adapter = Name::from(format!("{model}:a{number}"));
+        let until = self.now + ADAPTER_RUN;
+        self.adapter_runs.insert(adapter.clone(), until);
+        self.handle(LoaderEvent::Demand {
+            pool: pool(),
+            model: model.clone(),
+            adapter: Some(adapter),
+            requests: 0,
+            patient: 0,
+            missed: 0,
+            saturated: 0,
+            late: 0,
+        });
+    }
+
     pub(crate) fn saturate(&mut self, model: &Name) {
         self.handle(LoaderEvent::Demand {
             pool: pool(),
@@ -478,13 +499,13 @@
                 engine.adapters.insert(adapter.clone());
             }
             OrderKind::UnloadAdapter { adapter } => {
-                engine.adapters.remove(adapter);
                 let until = self.adapter_runs.get(adapter).copied();
                 if let Some(until) = until.filter(|until| *until > now) {
-                    // The engine is busy until the runs of the adapter have ended.
-                    engine.evicting = Some((adapter.clone(), until));
+                    // It keeps its slot meanwhile, and the engine takes other orders.
+                    engine.leaving.insert(adapter.clone(), until);
                     self.adapters_interrupted += 1;
                 } else {
+                    engine.adapters.remove(adapter);
                     engine.accepted += 1;
                     return EngineReply::Holds;
                 }
@@ -571,13 +592,23 @@
         self.sequence = 0;
         self.loaded.clear();
         self.adapters.clear();
+        self.leaving.clear();
         self.loading = None;
         self.evicting = None;
         self.accepted = 0;
         self.history.clear();
     }
 
+    /// Returns whether requests for an adapter can begin.
+    fn serves(&self, adapter: &Name) -> bool {
+        self.adapters.contains(adapter) && !self.leaving.contains_key(adapter)
+    }
+
     fn advance(&mut self, now: Time) -> bool {
+        let ended = self.leaving.extract_if(.., |_, until| now >= *until);
+        for (adapter, _) in ended {
+            self.adapters.remove(&adapter);
+        }
         if let Some((model, _, until)) = &self.loading
             && now >= *until
         {
@@ -591,6 +622,7 @@
         {
             let prefix = format!("{model}:");
             self.adapters.retain(|a| !a.as_str().starts_with(&prefix));
+            self.leaving.retain(|a, _| !a.as_str().starts_with(&prefix));
             self.loaded.remove(model);
             self.evicting = None;
             return true;
--- a/crates/sequoiawing_standin/src/engine.rs
+++ b/crates/sequoiawing_standin/src/engine.rs
@@ -45,6 +45,8 @@
     started_requests: u64,
     loaded: BTreeMap<Name, u64>,
     adapters: BTreeSet<Name>,
+    /// The adapters that are dropped once their requests have ended.
+    leaving_adapters: BTreeSet<Name>,
     loading: BTreeMap<Name, u64>,
     failed: BTreeSet<Name>,
     cached: BTreeSet<Name>,
@@ -235,10 +237,17 @@
                 inner.cached.insert(model.clone());
                 let prefix = format!("{model}:");
                 inner.adapters.retain(|a| !a.as_str().starts_with(&prefix));
+                inner
+                    .leaving_adapters
+                    .retain(|a| !a.as_str().starts_with(&prefix));
                 OrderReply::Accepted
             }
             OrderKind::UnloadAdapter { adapter } => {
-                inner.adapters.remove(&adapter);
+                if inner.in_use.contains_key(&adapter) {
+                    inner.leaving_adapters.insert(adapter);
+                } else {
+                    inner.adapters.remove(&adapter);
+                }
                 OrderReply::Accepted
             }
             OrderKind::Fence => OrderReply::Accepted,
@@ -285,7 +294,10 @@
         let shared = self.clone();
         spawn(async move {
             sleep(Duration::from_millis(shared.settings.adapter)).await;
-            shared.inner.lock().adapters.insert(adapter);
+            let mut inner = shared.inner.lock();
+            inner.leaving_adapters.remove(&adapter);
+            inner.adapters.insert(adapter);
+            drop(inner);
             shared.notify_announcer();
         })
         .detach();
@@ -296,7 +308,8 @@
     fn begin_request(self: &Arc<Self>, model: &str) -> Option<RunningRequest> {
         let mut inner = self.inner.lock();
         let base = model.split(':').next().unwrap_or_default();
-        let has_adapter = !model.contains(':') || inner.adapters.contains(model);
+        let is_present = inner.adapters.contains(model) && !inner.leaving_adapters.contains(model);
+        let has_adapter = !model.contains(':') || is_present;
         if !inner.loaded.contains_key(base) || !has_adapter {
             return None;
         }
@@ -333,6 +346,22 @@
             }
         }
         inner.in_use.retain(|_, count| *count > 0);
+        let Inner {
+            in_use,
+            adapters,
+            leaving_adapters,
+            ..
+        } = &mut *inner;
+        let mut has_dropped = false;
+        leaving_adapters.retain(|adapter| {
+            let is_used = in_use.contains_key(adapter);
+            has_dropped |= !is_used && adapters.remove(adapter);
+            is_used
+        });
+        drop(inner);
+        if has_dropped {
+            self.shared.notify_announcer();
+        }
     }
 }
 
