--- a/crates/sequoiawing_hub/src/hub.rs
+++ b/crates/sequoiawing_hub/src/hub.rs
@@ -470,6 +470,13 @@
         Some(pools.any(|p| p.name == *pool))
     }
 
+    /// Returns whether the upstreams of a pool are engines, which serve models.
+    pub fn has_engines(&self, pool: &Name) -> bool {
+        let tables = self.state.handle.tables();
+        let mut pools = tables.catalog().into_iter().flat_map(|c| &c.pools);
+        pools.any(|p| p.name == *pool && p.engine.is_some())
+    }
+
     /// Returns whether this host recently had contact with the log's majority.
     ///
     /// Upstreams should announce themselves to another hub while it has not: the
