Replace observed connections before their upstream closes them

Cause: the process of an upstream is observed by a connection without requests, which was replaced each 500 ms. A runner that closes idle connections sooner broke the chain, and the orderly close counted like a death. Ruled out: an unanswered check at the end; none was sent.

Change: `IdleTolerance` learns by pool how long such connections stay open, from one that is left open. They are replaced each 100 ms until that is known, and then at half of that time, 500 ms at most.

--- a/crates/sequoiawing_gateway/src/process_watch.rs
+++ b/crates/sequoiawing_gateway/src/process_watch.rs
@@ -7,33 +7,35 @@
 use hyper::{Request, header::HOST};
 use parking_lot::Mutex;
 use sequoiawing_http::{Body, Connection, Connector, empty};
-use sequoiawing_policy::serving::{FramingHistory, ProcessChain};
-use sequoiawing_runtime::{sleep, spawn};
-use sequoiawing_types::Name;
+use sequoiawing_policy::serving::{FramingHistory, IdleTolerance, ProcessChain};
+use sequoiawing_runtime::{Clock, sleep, spawn};
+use sequoiawing_types::{Name, Time};
 use std::{
     collections::HashMap,
     io,
     net::SocketAddr,
     sync::{Arc, Weak},
-    time::Duration,
+    time::Instant,
 };
 
-/// How often the connection to an upstream is replaced while answers of it are under way.
-/// Upstreams close connections without requests after some seconds.
-const REPLACE_INTERVAL: Duration = Duration::from_millis(500);
-
 /// The processes that are observed, and the pools for which that is needed.
 #[derive(Default)]
 pub(crate) struct ProcessWatches {
     addresses: Mutex<HashMap<SocketAddr, Weak<ProcessWatch>>>,
     framings: Mutex<HashMap<Name, FramingHistory>>,
+    /// By pool, how long connections without requests stay open.
+    tolerances: Mutex<HashMap<Name, SharedTolerance>>,
 }
 
+type SharedTolerance = Arc<Mutex<IdleTolerance>>;
+
 /// The observation of the process at one address, for as long as a request needs it.
 struct ProcessWatch {
     address: SocketAddr,
     connector: Arc<dyn Connector>,
     dialect: Arc<dyn Dialect>,
+    tolerance: SharedTolerance,
+    clock: Clock,
     /// Held while a connection is opened or used.
     turn: AsyncMutex<()>,
     observed: Mutex<Observed>,
@@ -42,7 +44,9 @@
 /// The connection on which nothing was sent, and the process that accepted it.
 #[derive(Default)]
 struct Observed {
-    connection: Option<Connection>,
+    connection: Option<AgingConnection>,
+    /// Left open to learn how long that is possible.
+    probe: Option<AgingConnection>,
     chain: ProcessChain,
     /// How often a request could not connect.
     failures: u64,
@@ -60,7 +64,36 @@
 
 impl Observed {
     fn is_open(&self) -> bool {
-        self.connection.as_ref().is_some_and(Connection::is_silent)
+        let connection = self.connection.as_ref();
+        connection.is_some_and(|c| c.connection.is_silent())
+    }
+}
+
+/// A connection without requests, and when it was opened.
+struct AgingConnection {
+    connection: Connection,
+    opened: Instant,
+}
+
+impl AgingConnection {
+    fn new(connection: Connection) -> Self {
+        Self {
+            connection,
+            opened: Instant::now(),
+        }
+    }
+
+    /// Records whether the connection is still open; returns whether it is.
+    fn record(&self, now: Time, tolerance: &SharedTolerance) -> bool {
+        let is_open = self.connection.is_silent();
+        let age = self.opened.elapsed();
+        let mut tolerance = tolerance.lock();
+        if is_open {
+            tolerance.record_open(age);
+        } else {
+            tolerance.record_closed(now, age);
+        }
+        is_open
     }
 }
 
@@ -102,7 +135,7 @@
         let mut observed = self.observed.lock();
         match connected {
             Ok(connection) => {
-                observed.connection = Some(connection);
+                observed.connection = Some(AgingConnection::new(connection));
                 observed.chain.begin();
                 Ok(Some(observed.chain.number()))
             }
@@ -141,13 +174,35 @@
             observed.connection.take()
         };
         let has_answered = match former {
-            Some(connection) => connection.responds(self.liveness_request()).await,
-            None => false,
+            Some(former) if former.record(self.now(), &self.tolerance) => {
+                let request = self.liveness_request();
+                former.connection.responds(request).await
+            }
+            Some(_) | None => false,
         };
         let mut observed = self.observed.lock();
         observed.has_answered = has_answered;
         observed.chain.replace(has_answered);
-        observed.connection = next;
+        observed.connection = next.map(AgingConnection::new);
+    }
+
+    /// Learns how long a connection without requests stays open.
+    async fn learn_tolerance(&self) {
+        let probe = self.observed.lock().probe.take();
+        let now = self.now();
+        let mut probe = probe.filter(|probe| probe.record(now, &self.tolerance));
+        if !self.tolerance.lock().is_unknown(now) {
+            return;
+        }
+        if probe.is_none() {
+            let connected = self.connector.connect(self.address).await.ok();
+            probe = connected.map(AgingConnection::new);
+        }
+        self.observed.lock().probe = probe;
+    }
+
+    fn now(&self) -> Time {
+        Time::ZERO + self.clock.elapsed()
     }
 
     fn liveness_request(&self) -> Request<Body> {
@@ -163,18 +218,24 @@
 /// Replaces the connection of a watch until no request needs it.
 async fn keep_open(watch: Weak<ProcessWatch>) {
     loop {
-        sleep(REPLACE_INTERVAL).await;
+        let interval = watch.upgrade().map(|w| w.tolerance.lock().interval());
+        let Some(interval) = interval else {
+            return;
+        };
+        sleep(interval).await;
         let Some(watch) = watch.upgrade() else {
             return;
         };
-        let _turn = watch.turn.lock().await;
+        let turn = watch.turn.lock().await;
         watch.check(true).await;
+        drop(turn);
+        watch.learn_tolerance().await;
     }
 }
 
 impl ProcessWatches {
     /// Returns the watch of an address.
-    fn watch(&self, address: SocketAddr, state: &GatewayState) -> Arc<ProcessWatch> {
+    fn watch(&self, pool: &Name, address: SocketAddr, state: &GatewayState) -> Arc<ProcessWatch> {
         let mut addresses = self.addresses.lock();
         if let Some(watch) = addresses.get(&address).and_then(Weak::upgrade) {
             return watch;
@@ -183,6 +244,13 @@
             address,
             connector: state.connector.clone(),
             dialect: state.dialect.clone(),
+            clock: state.clock(),
+            tolerance: self
+                .tolerances
+                .lock()
+                .entry(pool.clone())
+                .or_default()
+                .clone(),
             turn: AsyncMutex::default(),
             observed: Mutex::default(),
         });
@@ -225,7 +293,7 @@
         if !self.processes.needs_evidence(pool) {
             return Ok(None);
         }
-        let watch = self.processes.watch(address, self);
+        let watch = self.processes.watch(pool, address, self);
         let number = watch.observe().await?;
         Ok(number.map(|number| ProcessEvidence { watch, number }))
     }
--- a/crates/sequoiawing_gateway/src/state.rs
+++ b/crates/sequoiawing_gateway/src/state.rs
@@ -206,6 +206,10 @@
         Time::ZERO + self.clock.elapsed()
     }
 
+    pub(crate) fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// Returns the active configuration.
     pub fn index(&self) -> Arc<CatalogIndex> {
         self.index.load_full()
--- a/crates/sequoiawing_policy/src/serving/answer_evidence.rs
+++ b/crates/sequoiawing_policy/src/serving/answer_evidence.rs
@@ -82,6 +82,52 @@
     }
 }
 
+/// How often the connection to an upstream is replaced if it is known to stay open for longer.
+const LONG_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How often it is replaced at least, also while it is not known how long it stays open.
+/// Upstreams that close connections sooner cannot be observed.
+const SHORT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long it is believed that a connection was closed for its age. Its upstream may have
+/// ended, too.
+const LIMIT_TTL: Duration = Duration::from_mins(1);
+
+/// How long the upstreams of a pool leave connections without requests open.
+///
+/// A connection that an upstream closes in order shows no death, and nothing else either. So
+/// each is replaced before, at half of the time that another one was seen open.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct IdleTolerance {
+    /// The greatest age of an open connection.
+    open: Duration,
+    /// Until when no other one is left open, since an upstream has closed one.
+    limited_until: Time,
+}
+
+impl IdleTolerance {
+    /// Returns how long after its opening a connection is replaced.
+    pub fn interval(&self) -> Duration {
+        (self.open / 2).clamp(SHORT_INTERVAL, LONG_INTERVAL)
+    }
+
+    /// Returns whether a connection should be left open to learn for how long it is.
+    pub fn is_unknown(&self, now: Time) -> bool {
+        now >= self.limited_until && self.open < LONG_INTERVAL * 2
+    }
+
+    /// Records that a connection of this age was open.
+    pub fn record_open(&mut self, age: Duration) {
+        self.open = self.open.max(age);
+    }
+
+    /// Records that a connection of this age was closed.
+    pub fn record_closed(&mut self, now: Time, age: Duration) {
+        self.open = self.open.min(age / 2);
+        self.limited_until = now + LIMIT_TTL;
+    }
+}
+
 /// Numbers the processes that listened at an address, as observed by a connection that is
 /// replaced from time to time.
 ///
--- a/crates/sequoiawing_policy/src/serving/mod.rs
+++ b/crates/sequoiawing_policy/src/serving/mod.rs
@@ -31,7 +31,7 @@
 mod upstream;
 mod upstream_limit;
 
-pub use answer_evidence::{FramingHistory, ProcessChain, Standstills};
+pub use answer_evidence::{FramingHistory, IdleTolerance, ProcessChain, Standstills};
 pub use balancer::{
     Assignment, AttemptOutcome, Balancer, BalancerRequest, PickResult, PlaceCandidate, UpstreamKey,
 };
--- a/crates/sequoiawing_policy/tests/answer_evidence.rs
+++ b/crates/sequoiawing_policy/tests/answer_evidence.rs
@@ -1,6 +1,8 @@
 //! Which answers that end with their connection count as complete.
 
-use sequoiawing_policy::serving::{FramingHistory, ProcessChain};
+use sequoiawing_policy::serving::{FramingHistory, IdleTolerance, ProcessChain};
+use sequoiawing_types::Time;
+use std::time::Duration;
 
 // Guards against a process that was started again being taken for the one that answered.
 #[test]
@@ -50,3 +52,24 @@
     history.record(false);
     assert!(history.needs_evidence());
 }
+
+// Guards against connections that are replaced too late for upstreams that close them soon, and
+// too often for others (review/14).
+#[test]
+fn a_connection_is_replaced_before_its_upstream_closes_it() {
+    let ms = Duration::from_millis;
+    let mut tolerance = IdleTolerance::default();
+    assert_eq!(
+        (tolerance.interval(), tolerance.is_unknown(Time::ZERO)),
+        (ms(100), true)
+    );
+    tolerance.record_open(ms(390));
+    assert_eq!(tolerance.interval(), ms(195));
+    tolerance.record_closed(Time::ZERO, ms(410));
+    assert_eq!(tolerance.interval(), Duration::from_micros(102_500));
+    assert!(!tolerance.is_unknown(Time::from_millis(59_000)));
+    assert!(tolerance.is_unknown(Time::from_millis(60_000)));
+    tolerance.record_open(ms(1_000));
+    assert_eq!(tolerance.interval(), ms(500));
+    assert!(!tolerance.is_unknown(Time::from_millis(60_000)));
+}
