--- a/crates/sequoiawing_catalog/src/check.rs
+++ b/crates/sequoiawing_catalog/src/check.rs
@@ -59,10 +59,11 @@
 
 fn check_keys(findings: &mut Findings, catalog: &Catalog) {
     let mut holders = BTreeMap::new();
-    for customer in &catalog.customers {
+    for (number, customer) in catalog.customers.iter().enumerate() {
         for key in &customer.keys {
-            let previous = holders.insert(key, &customer.name);
-            if let Some(other) = previous.filter(|other| **other != customer.name) {
+            let previous = holders.insert(key, number);
+            if let Some(other) = previous.filter(|other| *other != number) {
+                let other = &catalog.customers[other].name;
                 // The key itself is a secret and must not appear in the finding.
                 let problem = format!("customer \"{other}\" has one of these keys");
                 findings.push(format!("customers.{}.keys", customer.name), problem);
