Publish applied changes before their acknowledgement

Cause, as traced by the review: `Core::apply` replied to each request at once, and `Core::publish` lists the changes of a batch behind it. Whoever had the acknowledgement and asked the same controller next could miss the change, departures and configurations alike. The test is right.

Change: the requests of applied entries wait in the core until their changes are published, and are completed then. It is the same turn of the core's loop, so that nothing waits longer than for the rest of the batch.

--- a/crates/sequoiawing_controller/src/core.rs
+++ b/crates/sequoiawing_controller/src/core.rs
@@ -13,6 +13,7 @@
 };
 use sequoiawing_link::{ControlError, ControlStatus, Secret, Translations};
 use sequoiawing_runtime::{Clock, Shutdown, sleep};
+use sequoiawing_tables::Outcome;
 use sequoiawing_types::{Name, Time};
 use std::{
     collections::{HashMap, VecDeque},
@@ -68,6 +69,8 @@
     persisted: u64,
     deferred: VecDeque<DeferredMessage>,
     pending: HashMap<Token, PendingRequest>,
+    /// The requests whose entries were applied and not published yet.
+    applied: Vec<(PendingRequest, Option<Outcome>)>,
     next_token: Token,
     proposals: Vec<Proposal>,
     failure: Option<StorageFailure>,
@@ -113,6 +116,7 @@
             persisted: 0,
             deferred: VecDeque::new(),
             pending: HashMap::new(),
+            applied: Vec::new(),
             next_token: 1,
             proposals: Vec::new(),
             failure: None,
@@ -395,12 +399,8 @@
             Payload::Empty | Payload::Members(_) => None,
         };
         let request = token.and_then(|token| self.pending.remove(&token));
-        match (request, outcome) {
-            (Some(PendingRequest::Propose(reply)), Some(outcome)) => reply.send(Ok(outcome)),
-            (Some(PendingRequest::ChangeMembers(reply)), _) => reply.send(Ok(())),
-            (Some(request), _) => request.fail(ControlError::Uncertain),
-            (None, _) => {}
-        }
+        self.applied
+            .extend(request.map(|request| (request, outcome)));
     }
 
     fn send(&mut self, to: ReplicaId, message: Message) {
@@ -433,8 +433,10 @@
         self.replica.membership().member(leader).map(|m| m.address)
     }
 
-    /// Publishes the tables, the leadership and the status, and completes a pending
-    /// shutdown.
+    /// Publishes the tables, the leadership and the status, and completes the requests that
+    /// were applied and a pending shutdown.
+    ///
+    /// Who has a reply finds its change in what this controller publishes.
     fn publish(&mut self) {
         self.state_machine.publish();
         self.publish_leadership();
@@ -447,6 +449,9 @@
             }
             self.handle.status.set(status);
         }
+        for (request, outcome) in self.applied.drain(..) {
+            request.complete(outcome);
+        }
         let can_stop = self.replica.role() != RoleName::Leader || self.is_idle_sole_voter();
         if (can_stop || self.failure.is_some())
             && let Some(reply) = self.shutdown_reply.take()
--- a/crates/sequoiawing_controller/src/request.rs
+++ b/crates/sequoiawing_controller/src/request.rs
@@ -78,6 +78,15 @@
         self.fail(error);
     }
 
+    /// Replies that the request's entry was applied, with the outcome of its command.
+    pub(crate) fn complete(self, outcome: Option<Outcome>) {
+        match (self, outcome) {
+            (Self::Propose(reply), Some(outcome)) => reply.send(Ok(outcome)),
+            (Self::ChangeMembers(reply), _) => reply.send(Ok(())),
+            (request, _) => request.fail(ControlError::Uncertain),
+        }
+    }
+
     pub(crate) fn fail(self, error: ControlError) {
         match self {
             Self::Propose(reply) => reply.send(Err(error)),
