Doubt a step between event IDs only behind equal ones

A pause then looked like a missing event, and a sound stream that may not be resumed broke off. The steps before must now all be equal, so that such pools are never doubted.

An engine is also asked for adapters that it drops while nothing waits for their slot, each 2 s, as they count as taken until then.

--- a/crates/sequoiawing_gateway/src/event_numberings.rs
+++ b/crates/sequoiawing_gateway/src/event_numberings.rs
@@ -6,8 +6,8 @@
 use sequoiawing_types::Name;
 use std::{collections::HashMap, sync::Arc};
 
-/// How many steps of the same width show what a pool's next ones will be. Short streams of
-/// a pool that numbers irregularly stay below it.
+/// How many equal steps in a row show what a pool's next ones will be. Pools that number
+/// irregularly stay below it.
 const REQUIRED_STEPS: u32 = 32;
 
 /// The numbering of a pool's streams, shared by those that are being relayed.
--- a/crates/sequoiawing_policy/src/serving/event_numbering.rs
+++ b/crates/sequoiawing_policy/src/serving/event_numbering.rs
@@ -6,18 +6,18 @@
 
 /// How far apart the IDs of events lie, as far as is known.
 ///
-/// The IDs of a stream increase, by steps that only its upstream knows. A wider step than all
+/// The IDs of a stream increase, by steps that only its upstream knows. A wider step than those
 /// before shows that an event is missing or that the upstream numbers so. It is doubted where
-/// enough streams have shown what to expect, and accepted once a second run of the stream
+/// enough equal steps have shown what to expect, and accepted once a second run of the stream
 /// takes the same step. See [docs/design/event-ids.md](../../../../docs/design/event-ids.md).
 #[derive(Clone, Debug)]
 pub struct EventNumbering {
-    /// The number of widest steps that must have been seen before a wider one is doubted.
+    /// The number of equal steps behind which a wider one is doubted.
     required: u32,
-    /// The widest step within a run.
-    widest: u64,
-    /// How often the widest step was seen.
-    seen: u32,
+    /// The width of the last step within a run.
+    width: u64,
+    /// The number of last steps that had this width.
+    equal: u32,
     /// The steps that one run has taken, each from an ID to the next.
     doubted: VecDeque<(u64, u64)>,
     /// Whether two runs took a step that had been doubted, so that steps tell nothing.
@@ -25,13 +25,13 @@
 }
 
 impl EventNumbering {
-    /// Creates a numbering that doubts a step if `required` narrower ones of the same width
-    /// were seen.
+    /// Creates a numbering that doubts a step if `required` narrower ones, all of the same
+    /// width, were the last.
     pub fn new(required: u32) -> Self {
         Self {
             required,
-            widest: 0,
-            seen: 0,
+            width: 0,
+            equal: 0,
             doubted: VecDeque::new(),
             is_irregular: false,
         }
@@ -42,7 +42,7 @@
         if id <= last {
             return false;
         }
-        let is_known = id - last <= self.widest || self.seen < self.required;
+        let is_known = id - last <= self.width || self.equal < self.required;
         if is_known || self.is_irregular {
             return true;
         }
@@ -62,12 +62,10 @@
     /// callers name the ID behind which a stream is taken up.
     pub fn learn(&mut self, last: u64, id: u64) {
         let step = id.saturating_sub(last);
-        if step > self.widest {
-            self.widest = step;
-            self.seen = 0;
-        }
-        if step == self.widest {
-            self.seen = self.seen.saturating_add(1);
+        if step != self.width {
+            self.width = step;
+            self.equal = 0;
         }
+        self.equal = self.equal.saturating_add(1);
     }
 }
--- a/crates/sequoiawing_policy/src/serving/loader/engine.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/engine.rs
@@ -1,7 +1,7 @@
 use super::{
     EngineReply, EngineReport, LoadSource, LoaderAction,
     late_orders::{Reserve, SentOrder},
-    leaving::{DROP_POLL_INTERVAL, LeavingAdapters},
+    leaving::{DROP_POLL_INTERVAL, IDLE_DROP_POLL_INTERVAL, LeavingAdapters},
     load_time,
 };
 use sequoiawing_catalog::ModelSpec;
@@ -642,11 +642,14 @@
         queued.find(|adapter| !self.leaving.contains(adapter))
     }
 
-    /// Returns whether the engine is to be asked if it has dropped an adapter that others
-    /// wait for.
+    /// Returns whether the engine is to be asked if it has dropped an adapter.
     fn waits_for_drop(&self, now: Time) -> bool {
-        let is_due = now >= self.asked + DROP_POLL_INTERVAL;
-        is_due && self.leaving.len() > 0 && !self.queued_adapters.is_empty()
+        let interval = if self.queued_adapters.is_empty() {
+            IDLE_DROP_POLL_INTERVAL
+        } else {
+            DROP_POLL_INTERVAL
+        };
+        self.leaving.len() > 0 && now >= self.asked + interval
     }
 
     /// Returns the order for the next queued adapter, if it need not wait for one to be dropped.
--- a/crates/sequoiawing_policy/src/serving/loader/leaving.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/leaving.rs
@@ -6,6 +6,9 @@
 /// runs last for a few seconds.
 pub(super) const DROP_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The same while nothing waits for the slot.
+pub(super) const IDLE_DROP_POLL_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The adapters that an engine has begun to unload.
 ///
 /// The engine accepts the order at once, and drops the adapter when its last run has ended.
--- a/crates/sequoiawing_router/src/relay.rs
+++ b/crates/sequoiawing_router/src/relay.rs
@@ -32,8 +32,8 @@
     time::{Duration, Instant},
 };
 
-/// How many steps of the same width show what the next ones of a stream will be. A single one
-/// is enough, as the upstream is asked again behind a wider one, up to [`MAX_RESUMES`] times.
+/// How many equal steps in a row show what the next ones of a stream will be. A single one is
+/// enough, as the upstream is asked again behind a wider one, up to [`MAX_RESUMES`] times.
 const REQUIRED_STEPS: u32 = 1;
 
 /// The maximum number of resumes of a stream without an event in between.
