Ignore engine reports of a state before the last accepted order

Read in the code: an engine that is asked whether it has dropped an adapter may answer with a state some hundred milliseconds old. Its count of accepted orders then went back, and the next orders were refused until the engine was asked again, up to 0.7 s later. Such a report now changes nothing, unless a load is under way, whose end it may show.

--- a/crates/sequoiawing_policy/src/serving/loader/engine.rs
+++ b/crates/sequoiawing_policy/src/serving/loader/engine.rs
@@ -533,6 +533,9 @@
             self.job = loading;
             return;
         };
+        if self.job.is_none() && self.is_outdated(now, &report) {
+            return;
+        }
         self.accepted = Some(report.accepted);
         let is_own = self.job.as_ref().is_some_and(Job::is_loading);
         if report.busy && !is_own {
@@ -577,6 +580,16 @@
         };
     }
 
+    /// Returns whether a report shows a state before the last accepted order, so that it may
+    /// lack what was loaded since. Reports are up to some hundred milliseconds old.
+    fn is_outdated(&self, now: Time, report: &EngineReport) -> bool {
+        let is_recent = now < self.stale_until;
+        is_recent
+            && self
+                .accepted
+                .is_some_and(|accepted| report.accepted < accepted)
+    }
+
     /// Sends the next order of the job, if one is due.
     pub(super) fn advance(&mut self, now: Time, name: &Name, out: &mut Vec<LoaderAction>) {
         if self.pending.is_some() || self.awaiting_report || now < self.backoff_until {
