Soak: runners whose event IDs are not consecutive

With `--sparse` the IDs of events increase by 7, 7 and 1 in turn; the judge knows the number of an event from its data and checks that its ID is that of the number.

--- a/tools/soak/src/judge/streams.rs
+++ b/tools/soak/src/judge/streams.rs
@@ -1,7 +1,10 @@
 //! ORDER: each stream that a caller saw against the events that runners made.
 
 use super::{Case, Promise, Verdict};
-use crate::record::{End, Sent};
+use crate::{
+    event_ids::event_id,
+    record::{End, Sent},
+};
 use std::collections::BTreeMap;
 
 /// The parts of an event.
@@ -12,19 +15,22 @@
     last: u64,
 }
 
-/// Reads `id: N`, `data: RUNNER VERSION N/LAST`.
+/// Reads `id: ID`, `data: RUNNER VERSION N/LAST STEP`, where N is the ID without a step.
 fn parse(text: &str) -> Option<Event<'_>> {
     let (id, data) = text.strip_prefix("id: ")?.split_once("\ndata: ")?;
     let mut words = data.split(' ');
     let (runner, version, place) = (words.next()?, words.next()?, words.next()?);
     let (number, last) = place.split_once('/')?;
+    let step = words.next().map_or(Some(1), |step| step.parse().ok())?;
+    let number = number.parse().ok()?;
     let event = Event {
-        id: id.parse().ok()?,
+        id: number,
         runner,
         version,
         last: last.parse().ok()?,
     };
-    (number == id && words.next().is_none()).then_some(event)
+    let is_id = id.parse() == Ok(event_id(step, number));
+    (is_id && words.next().is_none()).then_some(event)
 }
 
 pub(super) fn judge(case: &Case<'_>, verdict: &mut Verdict) {
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/SOAK.md`.
 
 mod caller;
+mod event_ids;
 mod judge;
 mod links;
 mod plan;
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -45,6 +45,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Whether runners leave by a call at times, and controllers are killed then"),
         )
+        .arg(
+            Arg::new("sparse")
+                .long("sparse")
+                .action(ArgAction::SetTrue)
+                .help("Whether the IDs of events are not consecutive"),
+        )
         .arg(
             Arg::new("platform")
                 .long("platform")
@@ -106,6 +112,7 @@
                     is_brittle: args.get_flag("brittle"),
                     has_backoffs: args.get_flag("backoffs"),
                     has_departures: args.get_flag("departures"),
+                    has_sparse_ids: args.get_flag("sparse"),
                 },
                 callers: count("callers"),
                 platform: args
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -11,6 +11,10 @@
 
 /// The processes of a run.
 #[derive(Clone, Copy, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an option of its own"
+)]
 pub struct Size {
     /// The number of controllers.
     pub controllers: usize,
@@ -27,6 +31,8 @@
     /// Whether runners leave by a call at times, beside kills of the controllers that
     /// acknowledge it.
     pub has_departures: bool,
+    /// Whether the IDs of events are not consecutive.
+    pub has_sparse_ids: bool,
 }
 
 /// A fault, with the indices of the processes that it concerns.
--- a/tools/soak/src/run/deployment.rs
+++ b/tools/soak/src/run/deployment.rs
@@ -172,7 +172,7 @@
             deployment.gateways.push(process);
         }
         for i in 0..size.runners {
-            let runner = deployment.new_runner(i, &seeds, size.is_brittle)?;
+            let runner = deployment.new_runner(i, &seeds, size)?;
             deployment.runners.push(runner);
             deployment.start_runner(i, false)?;
         }
@@ -229,7 +229,7 @@
         &self,
         i: usize,
         controls: &[SocketAddr],
-        is_brittle: bool,
+        size: &Size,
     ) -> io::Result<RunnerProcess> {
         let is_stream = i.is_multiple_of(2);
         let models = if is_stream { &MODELS[..] } else { &[] };
@@ -243,8 +243,9 @@
             models: models.iter().map(|m| (*m).to_owned()).collect(),
             controls: controls.to_vec(),
             heartbeat: 600,
-            slots: if is_brittle { 6 } else { 32 },
-            queue: if is_brittle { 18 } else { 0 },
+            slots: if size.is_brittle { 6 } else { 32 },
+            queue: if size.is_brittle { 18 } else { 0 },
+            id_step: if size.has_sparse_ids { 5 } else { 1 },
             record: self.folder.join(format!("runner-{i}.jsonl")),
         };
         let log = self.folder.join(format!("runner-{i}.log"));
--- a/tools/soak/src/runner.rs
+++ b/tools/soak/src/runner.rs
@@ -42,6 +42,8 @@
     pub(crate) slots: usize,
     /// The requests that may wait for a slot.
     pub(crate) queue: usize,
+    /// The mean step between the IDs of events; 1 if they are consecutive.
+    pub(crate) id_step: u64,
     /// The file for its record.
     pub(crate) record: PathBuf,
 }
--- a/tools/soak/src/runner/requests.rs
+++ b/tools/soak/src/runner/requests.rs
@@ -2,6 +2,7 @@
 
 use super::{BRITTLE_NOTICE, Mode, Runner, heartbeats::model_list};
 use crate::{
+    event_ids::{event_id, event_number},
     record::{Record, now_ms},
     wire::{Head, Wire, head},
 };
@@ -243,7 +244,7 @@
         runner: settings.id.clone(),
         version: settings.version.clone(),
         deadline: number("deadline-ms"),
-        after: number("last-event-id"),
+        after: number("last-event-id").map(|id| event_number(settings.id_step, id)),
         ran: slot.is_some(),
         status,
         retry_after: retry_after.map(millis),
@@ -267,7 +268,8 @@
         begun.or(gone(wire)).await?;
     }
     if is_stream {
-        return stream(runner, wire, request, &mode, number("last-event-id")).await;
+        let after = number("last-event-id").map(|id| event_number(settings.id_step, id));
+        return stream(runner, wire, request, &mode, after).await;
     }
     let work = async {
         sleep(RUN_TIME.mul_f64(mode.slow)).await;
@@ -357,8 +359,14 @@
             sleep(Duration::from_millis(50)).await;
         }
         let text = format!(
-            "id: {id}\ndata: {} {} {id}/{last}",
-            settings.id, settings.version
+            "id: {}\ndata: {} {} {id}/{last}{}",
+            event_id(settings.id_step, id),
+            settings.id,
+            settings.version,
+            match settings.id_step {
+                1 => String::new(),
+                step => format!(" {step}"),
+            }
         );
         let is_break = id > first + 2;
         if is_break && is_early && is_unframed {
--- a/tools/soak/tests/plan.rs
+++ b/tools/soak/tests/plan.rs
@@ -10,6 +10,7 @@
     is_brittle: false,
     has_backoffs: false,
     has_departures: false,
+    has_sparse_ids: false,
 };
 
 #[test]
