Test adapters in use beside lost orders, other leaders and restarts

Unanswered unloads and leaders that do not know what their predecessors ordered were covered by reading only.

--- a/crates/sequoiawing_policy/tests/loader/main.rs
+++ b/crates/sequoiawing_policy/tests/loader/main.rs
@@ -259,27 +259,56 @@
     );
 }
 
-/// More adapters are in use than all engines have slots for, and others are asked for.
+/// Requests more adapters in turn than all engines have slots for, for a minute; returns how
+/// many requests of the second half found theirs.
+fn request_many_adapters(world: &mut World) -> u32 {
+    world.is_idle = true;
+    let model = Name::from("m0");
+    let mut served = 0;
+    for step in 0..1_200 {
+        let is_loaded = world.request_adapter(&model, step % 36);
+        served += u32::from(step >= 600 && is_loaded);
+        world.run(Duration::from_millis(50));
+    }
+    served
+}
+
 /// Guards against an adapter that is loaded into the slot of one that still runs requests
 /// (review/12).
 #[test]
 fn adapters_that_are_unloaded_keep_their_slots_until_their_runs_have_ended() {
     for seed in 0..6 {
         let mut world = World::new(seed, Faults::default());
-        world.is_idle = true;
-        let model = Name::from("m0");
-        let mut served = 0;
-        for step in 0..1_200 {
-            let is_loaded = world.request_adapter(&model, step % 36);
-            served += u32::from(step >= 600 && is_loaded);
-            world.run(Duration::from_millis(50));
-        }
+        let served = request_many_adapters(&mut world);
         assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
         assert!(world.adapters_interrupted > 0, "seed {seed}: none gave way");
         assert!(served >= 300, "seed {seed}: {served} of 600 requests");
     }
 }
 
+macro_rules! adapters {
+    ($($name:ident: $faults:expr;)*) => {$(
+        // Guards against adapters beyond the slots when orders, announcements or leaders are
+        // lost or late.
+        #[test]
+        fn $name() {
+            for seed in 0..6 {
+                let mut world = World::new(seed, $faults);
+                request_many_adapters(&mut world);
+                assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+            }
+        }
+    )*};
+}
+
+adapters! {
+    no_adapter_beyond_the_slots_with_lost_replies: Faults { lost: 0.2, ..Faults::default() };
+    no_adapter_beyond_the_slots_with_delayed_orders: Faults { lost: 0.2, delayed: true, ..Faults::default() };
+    no_adapter_beyond_the_slots_with_leader_changes: Faults { leaders: true, late: true, ..Faults::default() };
+    no_adapter_beyond_the_slots_with_restarts: Faults { restarts: true, ..Faults::default() };
+    no_adapter_beyond_the_slots_with_all_faults: Faults { late: true, lost: 0.2, delayed: true, leaders: true, restarts: true, crashes: false };
+}
+
 /// A stream runs for long while other adapters of its engine are requested now and then.
 /// Guards against an adapter that gives way since its last request is the oldest, and then
 /// keeps its slot until its runs have ended (review/12).
