--- a/tools/soak/src/judge/streams.rs
+++ b/tools/soak/src/judge/streams.rs
@@ -9,13 +9,14 @@
 
 /// The parts of an event.
 struct Event<'a> {
-    id: u64,
+    number: u64,
     runner: &'a str,
     version: &'a str,
     last: u64,
 }
 
-/// Reads `id: ID`, `data: RUNNER VERSION N/LAST STEP`, where N is the ID without a step.
+/// Reads `id: ID`, `data: RUNNER VERSION NUMBER/LAST STEP`, where ID is the [`event_id`] of
+/// NUMBER; without STEP the two are equal.
 fn parse(text: &str) -> Option<Event<'_>> {
     let (id, data) = text.strip_prefix("id: ")?.split_once("\ndata: ")?;
     let mut words = data.split(' ');
@@ -24,7 +25,7 @@
     let step = words.next().map_or(Some(1), |step| step.parse().ok())?;
     let number = number.parse().ok()?;
     let event = Event {
-        id: number,
+        number,
         runner,
         version,
         last: last.parse().ok()?,
@@ -77,8 +78,8 @@
             continue;
         }
         verdict.check(Promise::Order);
-        let (id, last) = before.as_ref().map_or((0, 1), |(e, _)| (e.id, e.last));
-        if id < last {
+        let (number, last) = before.as_ref().map_or((0, 1), |(e, _)| (e.number, e.last));
+        if number < last {
             let answering = case.arrivals_of(attempt).filter(|a| a.ran).last();
             let runner = answering.map_or("no runner", |a| a.runner);
             let is_unframed = case.unframed.contains(&(attempt, runner));
@@ -90,7 +91,7 @@
                 ""
             };
             let what = format!(
-                "{attempt} ended as whole behind event {id} of {last} of {runner}, whose answer \
+                "{attempt} ended as whole behind event {number} of {last} of {runner}, whose answer \
                  was {framing} length or chunks{by}; rest {rest:?}"
             );
             verdict.find(Promise::Order, what);
@@ -107,17 +108,17 @@
 fn compare(before: Option<&(Event<'_>, &str)>, event: &Event<'_>, sent: &Sent) -> Option<String> {
     let attempt = &sent.attempt;
     let Some((known, tried)) = before else {
-        let is_first = event.id == 1;
-        return (!is_first).then(|| format!("{attempt} began with event {}", event.id));
+        let is_first = event.number == 1;
+        return (!is_first).then(|| format!("{attempt} began with event {}", event.number));
     };
     let joined = format!(
         "event {} of {} ({}) behind event {} of {} ({}, in {tried})",
-        event.id, event.runner, event.version, known.id, known.runner, known.version
+        event.number, event.runner, event.version, known.number, known.runner, known.version
     );
-    if event.id <= known.id {
+    if event.number <= known.number {
         return Some(format!("{attempt} went back: {joined}"));
     }
-    if event.id > known.id + 1 {
+    if event.number > known.number + 1 {
         return Some(format!("{attempt} left out events: {joined}"));
     }
     if event.version != known.version {
--- a/tools/soak/src/runner/requests.rs
+++ b/tools/soak/src/runner/requests.rs
@@ -1,6 +1,6 @@
 //! How a runner answers requests.
 
-use super::{BRITTLE_NOTICE, Mode, Runner, heartbeats::model_list};
+use super::{BRITTLE_NOTICE, Mode, Runner, RunnerSettings, heartbeats::model_list};
 use crate::{
     event_ids::{event_id, event_number},
     record::{Record, now_ms},
@@ -301,6 +301,18 @@
     Err(io::ErrorKind::BrokenPipe.into())
 }
 
+/// Returns the text of an event, with what the judge needs to check its ID.
+fn event_text(settings: &RunnerSettings, number: u64, last: u64) -> String {
+    let step = settings.id_step;
+    let id = event_id(step, number);
+    let place = format!("{number}/{last}");
+    let data = format!("{} {} {place}", settings.id, settings.version);
+    match step {
+        1 => format!("id: {id}\ndata: {data}"),
+        _ => format!("id: {id}\ndata: {data} {step}"),
+    }
+}
+
 /// Sends the events of a stream behind `after`; returns whether the connection may be
 /// used again.
 async fn stream(
@@ -346,7 +358,7 @@
     sleep(pause).await;
     wire.write(head("HTTP/1.1 200 OK", &headers).as_bytes())
         .await?;
-    for id in first..=last {
+    for number in first..=last {
         let wait = async {
             sleep(pause).await;
             Ok(())
@@ -358,17 +370,8 @@
         while runner.mode().silent {
             sleep(Duration::from_millis(50)).await;
         }
-        let text = format!(
-            "id: {}\ndata: {} {} {id}/{last}{}",
-            event_id(settings.id_step, id),
-            settings.id,
-            settings.version,
-            match settings.id_step {
-                1 => String::new(),
-                step => format!(" {step}"),
-            }
-        );
-        let is_break = id > first + 2;
+        let text = event_text(settings, number, last);
+        let is_break = number > first + 2;
         if is_break && is_early && is_unframed {
             runner.note(&Record::Stopped {
                 attempt: request.attempt.clone(),
